--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/EntryCommand.kt
@@ -0,0 +1,49 @@
+package io.jasmineford.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.michaelbull.result.getOrElse
+import io.jasmineford.daemon.EntryDaemon
+import io.jasmineford.daemon.settings.parseEntrySettings
+import io.jasmineford.store.HttpObjectStore
+import kotlinx.coroutines.runBlocking
+import java.util.concurrent.CountDownLatch
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Runs one entry daemon until the process is told to stop. */
+internal class EntryCommand : CliktCommand(name = "entry") {
+    private val settingsFile by option("--settings", help = "YAML settings of the daemon")
+        .file(mustExist = true, canBeDir = false)
+        .required()
+
+    override fun help(context: Context) = "Run one entry daemon. SIGTERM starts a planned stop."
+
+    override fun run() {
+        val settings = parseEntrySettings(settingsFile.readText()).getOrElse { errors ->
+            throw CliktError(errors.joinToString("\n"), statusCode = EXIT_BAD_INPUT)
+        }
+        val store = HttpObjectStore(settings.platformUrl, settings.storeTimeoutMs.milliseconds)
+        val daemon = EntryDaemon(settings, store)
+        runBlocking { daemon.start() }
+        awaitShutdown { runBlocking { daemon.stop() } }
+    }
+}
+
+/** Blocks until the process is told to stop, then runs [stop]. */
+internal fun awaitShutdown(stop: () -> Unit) {
+    val stopped = CountDownLatch(1)
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            stop()
+            stopped.countDown()
+        },
+    )
+    stopped.await()
+}
+
+/** Exit code for input that has faults. */
+internal const val EXIT_BAD_INPUT = 2
--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/quickstart/QuickstartCommand.kt
@@ -0,0 +1,28 @@
+package io.jasmineford.cli.quickstart
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.file
+import kotlinx.coroutines.runBlocking
+import java.io.File
+
+/** Runs an agent program through three entry daemons, one of which is stopped on the way. */
+internal class QuickstartCommand : CliktCommand(name = "quickstart") {
+    private val release by option("--release", help = "release note to publish")
+        .file(mustExist = true, canBeDir = false)
+        .default(File("examples/league.yaml"))
+
+    override fun help(context: Context) =
+        "Start the stand-ins and three entry daemons in one process and run an agent program through a daemon's crash."
+
+    override fun run() {
+        val report = runBlocking { QuickstartRun(release.readText()) { echo(it) }.run() }
+        echo(report.table())
+        report.faults.forEach { echo("FAULT: $it") }
+        if (report.faults.isNotEmpty()) throw ProgramResult(statusCode = 1)
+        echo("The history is complete, in order and unmixed.")
+    }
+}
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/Configuration.kt
@@ -0,0 +1,65 @@
+package io.jasmineford.core.config
+
+import io.jasmineford.core.key.KeyDigest
+import kotlinx.serialization.Serializable
+
+/** A name within an organisation, since merged fleets use the same names for different things. */
+@Serializable
+data class ScopedName(
+    val organisation: String,
+    val name: String,
+) {
+    override fun toString(): String = "$organisation/$name"
+}
+
+/** Everything that one organisation has in force. */
+@Serializable
+data class OrganisationConfiguration(
+    val accounts: Map<String, ClientAccount> = emptyMap(),
+    val keys: Map<String, AccountKey> = emptyMap(),
+    val deployments: Map<String, Deployment> = emptyMap(),
+    val routes: Map<String, Route> = emptyMap(),
+)
+
+/** VMs and zones that operators have taken out of service. */
+@Serializable
+data class ServiceState(
+    val zonesOut: Set<String> = emptySet(),
+    val vmsOut: Set<String> = emptySet(),
+)
+
+/**
+ * An immutable configuration. It is in force as a whole; [generation] rises by one with each accepted change.
+ */
+@Serializable
+data class Configuration(
+    val generation: Long = 0,
+    val organisations: Map<String, OrganisationConfiguration> = emptyMap(),
+    val serviceState: ServiceState = ServiceState(),
+)
+
+/** The account that a key belongs to, or null. Every stored digest is compared, so that the time reveals nothing. */
+fun Configuration.accountOf(digest: KeyDigest): ScopedName? {
+    var found: ScopedName? = null
+    for ((organisation, content) in organisations) {
+        for (key in content.keys.values) {
+            val isMatch = KeyDigest(key.digest.removePrefix(DIGEST_PREFIX)).matches(digest)
+            if (isMatch) found = ScopedName(organisation, key.account)
+        }
+    }
+    return found
+}
+
+/** The route [name] of [organisation], or null. */
+fun Configuration.route(organisation: String, name: String): Route? = organisations[organisation]?.routes?.get(name)
+
+/** The account, or null. */
+fun Configuration.account(name: ScopedName): ClientAccount? =
+    organisations[name.organisation]?.accounts?.get(name.name)
+
+/** The deployment [name] of [organisation], or null. */
+fun Configuration.deployment(organisation: String, name: String): Deployment? =
+    organisations[organisation]?.deployments?.get(name)
+
+/** Prefix of [AccountKey.digest]. */
+const val DIGEST_PREFIX: String = "sha256:"
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/key/KeyDigest.kt
@@ -0,0 +1,30 @@
+package io.jasmineford.core.key
+
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/**
+ * SHA-256 digest of a caller's key. Only digests are stored, logged or sent between VMs.
+ *
+ * @property hex 64 lower-case hexadecimal digits.
+ */
+@JvmInline
+value class KeyDigest(val hex: String) {
+    init {
+        require(DIGEST_PATTERN.matches(hex)) { "expected 64 lower-case hexadecimal digits, actual ${hex.length} characters" }
+    }
+
+    /** Compares all bytes whatever the first difference, so that the time taken reveals nothing. */
+    fun matches(other: KeyDigest): Boolean = MessageDigest.isEqual(hex.toByteArray(), other.hex.toByteArray())
+}
+
+/** True when [text] is a digest in the form of [KeyDigest.hex]. */
+fun isKeyDigest(text: String): Boolean = DIGEST_PATTERN.matches(text)
+
+/** Digest of a key as the caller presents it. */
+fun digestOfKey(key: String): KeyDigest {
+    val digest = MessageDigest.getInstance("SHA-256").digest(key.toByteArray())
+    return KeyDigest(HexFormat.of().formatHex(digest))
+}
+
+private val DIGEST_PATTERN = Regex("[0-9a-f]{64}")
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/ShardAssignment.kt
@@ -0,0 +1,54 @@
+package io.jasmineford.core.lease
+
+/** Whether [lease] is the lease that gives the right to the shards of this owner. */
+fun ShardOwner.isHeldBy(lease: Lease): Boolean =
+    vm == lease.identity.vm && incarnation == lease.incarnation && !lease.isRevoked
+
+/**
+ * Gives the shards that have no live owner to the VMs of [live] that hold the fewest. A shard with a live owner never
+ * moves here: only its owner hands it over, see [handOver].
+ */
+fun assignOrphans(before: List<ShardOwner>, live: List<Lease>, count: Int, epoch: Long): List<ShardOwner> {
+    val staying = live.filter { !it.isLeaving }.sortedBy { it.identity.vm }
+    if (staying.isEmpty()) return before
+    val held = staying.associateWith { lease -> before.count { it.isHeldBy(lease) } }.toMutableMap()
+    return (0 until count).map { shard ->
+        val owner = before.getOrNull(shard)
+        if (owner != null && live.any { owner.isHeldBy(it) }) return@map owner
+        val lease = held.minBy { it.value }.key
+        held.merge(lease, 1, Int::plus)
+        newOwner(lease, epoch, journalsBefore = owner?.journals.orEmpty())
+    }
+}
+
+/**
+ * Shards that [self] should hand over, with their new owners: all when it is leaving, otherwise those above its fair
+ * part. Empty when nothing should move.
+ */
+fun shardsToHandOver(shards: List<ShardOwner>, live: List<Lease>, self: Lease): Map<Int, Lease> {
+    val staying = live.filter { !it.isLeaving && !it.isRevoked }.sortedBy { it.identity.vm }
+    val own = shards.indices.filter { shards[it].isHeldBy(self) }
+    if (staying.isEmpty()) return emptyMap()
+    val fairPart = (shards.size + staying.size - 1) / staying.size
+    val surplus = if (self.isLeaving) own else own.drop(fairPart)
+    val held = staying.associateWith { lease -> shards.count { it.isHeldBy(lease) } }.toMutableMap()
+    return surplus.associateWith { _ ->
+        val lease = held.minBy { it.value }.key
+        held.merge(lease, 1, Int::plus)
+        lease
+    }
+}
+
+/** Map in which [moved] shards have new owners. The old owner appends nothing for them after it writes this map. */
+fun handOver(shards: List<ShardOwner>, moved: Map<Int, Lease>, epoch: Long): List<ShardOwner> =
+    shards.mapIndexed { shard, owner ->
+        val lease = moved[shard] ?: return@mapIndexed owner
+        newOwner(lease, epoch, owner.journals).copy(isReleased = true)
+    }
+
+private fun newOwner(lease: Lease, epoch: Long, journalsBefore: List<String>) = ShardOwner(
+    vm = lease.identity.vm,
+    incarnation = lease.incarnation,
+    epoch = epoch,
+    journals = (journalsBefore + journalId(lease.identity.vm, lease.incarnation)).distinct(),
+)
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -0,0 +1,262 @@
+package io.jasmineford.daemon
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.Server
+import io.jasmineford.core.address.AddressAnswer
+import io.jasmineford.core.address.chooseAddresses
+import io.jasmineford.core.config.ConfigurationHolder
+import io.jasmineford.core.config.accountOf
+import io.jasmineford.core.key.digestOfKey
+import io.jasmineford.core.lease.Membership
+import io.jasmineford.core.lease.VmIdentity
+import io.jasmineford.core.program.ProgramId
+import io.jasmineford.core.limit.StaticDivisionLimiter
+import io.jasmineford.core.objective.CallCounters
+import io.jasmineford.core.schedule.CallScheduler
+import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.core.time.systemMonotonicClock
+import io.jasmineford.daemon.call.CallRouter
+import io.jasmineford.daemon.call.EndpointQueue
+import io.jasmineford.daemon.call.EngineClient
+import io.jasmineford.daemon.call.ModelCalls
+import io.jasmineford.daemon.call.ServiceCalls
+import io.jasmineford.daemon.call.ServiceClient
+import io.jasmineford.daemon.caller.AdmissionGate
+import io.jasmineford.daemon.caller.CallerPort
+import io.jasmineford.daemon.caller.callerModule
+import io.jasmineford.daemon.control.ConfigurationDriver
+import io.jasmineford.daemon.control.ConfigurationPublisher
+import io.jasmineford.daemon.control.MembershipDriver
+import io.jasmineford.daemon.control.ShardKeeper
+import io.jasmineford.daemon.operator.DaemonStatus
+import io.jasmineford.daemon.operator.OperatorPort
+import io.jasmineford.daemon.operator.PeerStatus
+import io.jasmineford.daemon.operator.operatorModule
+import io.jasmineford.daemon.peer.PeerClients
+import io.jasmineford.daemon.peer.PeerPort
+import io.jasmineford.daemon.peer.PeerService
+import io.jasmineford.daemon.peer.peerServer
+import io.jasmineford.daemon.settings.EntrySettings
+import io.jasmineford.daemon.settings.journal
+import io.jasmineford.daemon.settings.membership
+import io.jasmineford.protocol.ProbeReply
+import io.jasmineford.store.ObjectStore
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.server.application.Application
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.UUID
+import java.util.concurrent.Executors
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import io.ktor.server.cio.CIO as ServerCio
+
+/**
+ * One entry daemon: caller port, operator port and peer port around the decision library.
+ *
+ * @param incarnationSource returns a number greater than that of any earlier incarnation of this VM.
+ */
+class EntryDaemon(
+    private val settings: EntrySettings,
+    private val store: ObjectStore,
+    private val clock: MonotonicClock = systemMonotonicClock(),
+    private val incarnationSource: () -> Long = { System.currentTimeMillis() },
+) {
+    private val control = Executors.newSingleThreadExecutor { Thread(it, "control-${settings.vm}").apply { isDaemon = true } }
+        .asCoroutineDispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + control)
+    private val nonces: () -> String = { UUID.randomUUID().toString() }
+    private val holder = ConfigurationHolder(clock, settings.configurationMaxProofAgeMs.milliseconds)
+    private val counters = CallCounters()
+    private val metrics = DaemonMetrics()
+    private val client = HttpClient(CIO) { install(HttpTimeout) }
+    private val queue = EndpointQueue(CallScheduler(clock), control)
+    private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
+    private val configuration = ConfigurationDriver(
+        scope = scope,
+        store = store,
+        holder = holder,
+        clock = clock,
+        pollEvery = settings.configurationPollMs.milliseconds,
+        onChange = queue::configurationChanged,
+    )
+    private var isLeaving = false
+    private var isClosed = false
+    private lateinit var membership: Membership
+    private lateinit var keeper: ShardKeeper
+    private lateinit var router: CallRouter
+    private lateinit var callerServer: EmbeddedServer<*, *>
+    private lateinit var operatorServer: EmbeddedServer<*, *>
+    private lateinit var peerServer: Server
+
+    /** Starts all ports and returns the addresses in use. */
+    suspend fun start(): VmIdentity {
+        peerServer = peerServer(settings.host, settings.peerPort, PeerService(peerPort())).start()
+        callerServer = server(settings.callerPort) { callerModule(callerPort()) }
+        operatorServer = server(settings.operatorPort) { operatorModule(operatorPort()) }
+        val identity = VmIdentity(
+            vm = settings.vm,
+            zone = settings.zone,
+            callerAddress = "${settings.host}:${callerServer.startAndGetPort()}",
+            peerAddress = "${settings.host}:${peerServer.port}",
+            operatorAddress = "${settings.host}:${operatorServer.startAndGetPort()}",
+        )
+        withContext(control) { startControl(identity) }
+        log.event(
+            "daemon_started",
+            "vm" to settings.vm,
+            "zone" to settings.zone,
+            "caller" to identity.callerAddress,
+            "operator" to identity.operatorAddress,
+            "peer" to identity.peerAddress,
+        )
+        return identity
+    }
+
+    /** Whether this VM can serve: its lease is valid and its configuration is proved current. */
+    suspend fun isReady(): Boolean = withContext(control) {
+        ::membership.isInitialized && membership.isLeaseValid() && holder.isProvedCurrent() && !isLeaving
+    }
+
+    /** Generation of the configuration in force here. */
+    suspend fun generation(): Long = withContext(control) { holder.current.generation }
+
+    /** Planned stop: leaves the address answers first, hands its shards over, lets calls end, then closes. */
+    suspend fun stop(patience: Duration = 20.seconds) {
+        if (isClosed) return
+        withContext(control) {
+            isLeaving = true
+            membership.leave()
+        }
+        val isEmpty = withTimeoutOrNull(patience) {
+            while (!withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
+        }
+        log.event("daemon_stopped", "vm" to settings.vm, "handedOver" to (isEmpty != null))
+        close()
+    }
+
+    /** Stops at once, as a crash would: no lease change, no hand-over. */
+    fun close() {
+        if (isClosed) return
+        isClosed = true
+        scope.cancel()
+        callerServer.stop(gracePeriodMillis = 0, timeoutMillis = CLOSE_TIMEOUT_MS)
+        operatorServer.stop(gracePeriodMillis = 0, timeoutMillis = CLOSE_TIMEOUT_MS)
+        peerServer.shutdownNow()
+        peers.close()
+        client.close()
+        control.close()
+    }
+
+    private fun startControl(identity: VmIdentity) {
+        membership = Membership(identity, settings.membership(), clock, nonces, incarnationSource)
+        val driver = MembershipDriver(scope, store, membership)
+        keeper = ShardKeeper(
+            vm = settings.vm,
+            scope = scope,
+            store = store,
+            membership = membership,
+            driver = driver,
+            clock = clock,
+            journalSettings = settings.journal(),
+            shards = settings.shards,
+            nonces = nonces,
+        )
+        router = CallRouter(
+            self = settings.vm,
+            control = control,
+            configuration = holder,
+            membership = membership,
+            keeper = keeper,
+            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client)),
+            services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
+            forward = peers::forward,
+        )
+        driver.start()
+        keeper.start()
+        configuration.start()
+        queue.start(scope)
+    }
+
+    private fun callerPort() = CallerPort(
+        vm = settings.vm,
+        zone = settings.zone,
+        clock = clock,
+        defaultDeadline = settings.callDeadlineMs.milliseconds,
+        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
+        handle = { router.handle(it) },
+        addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
+        isLeaving = { isLeaving },
+        onAnswered = { labels ->
+            metrics.answered(labels)
+            withContext(control) { counters.count(labels) }
+        },
+    )
+
+    private fun operatorPort() = OperatorPort(
+        publisher = ConfigurationPublisher(store, nonces),
+        status = { withContext(control) { status() } },
+        isReady = { isReady() },
+        counts = { withContext(control) { counters.snapshot() } },
+        metrics = metrics::exposition,
+    )
+
+    private fun peerPort() = PeerPort(
+        clock = clock,
+        handle = { router.handle(it) },
+        probe = { withContext(control) { probe() } },
+    )
+
+    private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
+        val account = key?.let { holder.current.accountOf(digestOfKey(it)) }
+        val shard = if (account != null && program != null) keeper.shardOf(ProgramId(account, program)) else null
+        val owner = shard?.let { membership.map.shards.getOrNull(it) }
+        return chooseAddresses(membership.leases().values, holder.current.serviceState, owner?.vm, zone)
+    }
+
+    private fun probe(): ProbeReply = ProbeReply.newBuilder()
+        .setVm(settings.vm)
+        .setIncarnation(membership.incarnation)
+        .setLeaving(isLeaving)
+        .setGeneration(holder.current.generation)
+        .build()
+
+    private fun status() = DaemonStatus(
+        vm = settings.vm,
+        zone = settings.zone,
+        generation = holder.current.generation,
+        proofAgeMs = holder.proofAge().takeIf { it.isFinite() }?.inWholeMilliseconds ?: -1,
+        isLeaseValid = membership.isLeaseValid(),
+        isLeaving = isLeaving,
+        shards = membership.ownShards().count { membership.isServable(it) },
+        programs = keeper.book.size,
+        segmentsWritten = keeper.journal.writes,
+        peers = membership.leases().values.map {
+            PeerStatus(it.identity.vm, it.identity.zone, it.identity.operatorAddress, it.isLeaving, it.isRevoked)
+        },
+    )
+
+    private fun server(port: Int, module: Application.() -> Unit): EmbeddedServer<*, *> =
+        embeddedServer(ServerCio, port = port, host = settings.host, module = module)
+
+    private suspend fun EmbeddedServer<*, *>.startAndGetPort(): Int {
+        startSuspend(wait = false)
+        return engine.resolvedConnectors().first().port
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        val STOP_POLL = 50.milliseconds
+        const val CLOSE_TIMEOUT_MS = 500L
+    }
+}
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/AnswerWriter.kt
@@ -0,0 +1,98 @@
+package io.jasmineford.daemon.call
+
+import io.jasmineford.core.call.Outcome
+import io.jasmineford.core.call.Refusal
+import io.jasmineford.core.program.Message
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.serialization.json.Json
+
+/**
+ * Writes a model call's answer as server-sent events or as one JSON object. The last event or the whole object is written
+ * only by [end], after the turn is durable.
+ */
+internal class AnswerWriter(
+    private val events: FlowCollector<CallEvent>,
+    private val isStream: Boolean,
+    private val turn: Int?,
+) {
+    private val text = StringBuilder()
+    private var isHeadSent = false
+
+    /** Answer so far. */
+    val content: String get() = text.toString()
+
+    /** Tokens of the call, once the engine told them. */
+    var usage: ChatUsage = ChatUsage()
+
+    /** Digest of the history after this turn. */
+    var digest: String? = null
+
+    /** Continues the answer. */
+    suspend fun text(part: String) {
+        text.append(part)
+        if (!isStream) return
+        sendHead()
+        sendData(ChatReply(choices = listOf(ChatChoice(delta = ChatDelta(part)))))
+    }
+
+    /** Ends the answer as a result. */
+    suspend fun end() {
+        if (isStream) {
+            sendHead()
+            sendData(ChatReply(usage = usage))
+            sendOutcome(Outcome.RESULT, reason = null)
+            events.emit(CallEvent.Data("data: [DONE]\n\n".toByteArray()))
+        } else {
+            events.emit(CallEvent.Head(OK, jsonHeaders()))
+            val choice = ChatChoice(message = Message("assistant", content), finishReason = "stop")
+            val reply = ChatReply(choices = listOf(choice), usage = usage)
+            events.emit(CallEvent.Data(chatJson.encodeToString(reply).toByteArray()))
+        }
+        events.emit(CallEvent.End(Outcome.RESULT))
+    }
+
+    /** Ends the answer with [refusal]; after the first event of a stream it is told as an event. */
+    suspend fun fail(refusal: Refusal) {
+        if (!isHeadSent) {
+            refusal.toEvents().forEach { events.emit(it) }
+            return
+        }
+        val problem = "event: problem\ndata: ${Json.encodeToString(refusal.toProblem())}\n\n"
+        events.emit(CallEvent.Data(problem.toByteArray()))
+        sendOutcome(refusal.outcome, refusal.reason.label)
+        events.emit(CallEvent.End(refusal.outcome, refusal.reason))
+    }
+
+    private suspend fun sendHead() {
+        if (isHeadSent) return
+        isHeadSent = true
+        val headers = listOf(HeaderField("Content-Type", "text/event-stream"), HeaderField("Cache-Control", "no-cache"))
+        events.emit(CallEvent.Head(OK, headers + turnHeaders()))
+    }
+
+    private suspend fun sendData(reply: ChatReply) {
+        events.emit(CallEvent.Data("data: ${chatJson.encodeToString(reply)}\n\n".toByteArray()))
+    }
+
+    private suspend fun sendOutcome(outcome: Outcome, reason: String?) {
+        val fields = listOfNotNull(
+            "\"outcome\":\"${outcome.label}\"",
+            reason?.let { "\"reason\":\"$it\"" },
+            turn?.let { "\"turn\":$it" },
+            digest?.let { "\"historyDigest\":\"$it\"" },
+        )
+        events.emit(CallEvent.Data("event: outcome\ndata: {${fields.joinToString(",")}}\n\n".toByteArray()))
+    }
+
+    private fun jsonHeaders() = turnHeaders() + listOfNotNull(
+        HeaderField("Content-Type", "application/json"),
+        HeaderField(CallHeaders.OUTCOME, Outcome.RESULT.label),
+        digest?.let { HeaderField(CallHeaders.HISTORY_DIGEST, it) },
+    )
+
+    private fun turnHeaders() = listOfNotNull(turn?.let { HeaderField(CallHeaders.TURN, it.toString()) })
+
+    private companion object {
+        const val OK = 200
+    }
+}
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/CallRouter.kt
@@ -0,0 +1,169 @@
+package io.jasmineford.daemon.call
+
+import io.jasmineford.core.call.Outcome
+import io.jasmineford.core.call.Reason
+import io.jasmineford.core.call.Refusal
+import io.jasmineford.core.config.ConfigurationHolder
+import io.jasmineford.core.config.Route
+import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.config.route
+import io.jasmineford.core.lease.Membership
+import io.jasmineford.core.program.ProgramId
+import io.jasmineford.daemon.control.ShardKeeper
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.FlowCollector
+import kotlinx.coroutines.flow.emitAll
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.SerializationException
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What a call asks for. */
+internal data class CallTarget(
+    val route: Route,
+    val deployment: ScopedName,
+    val program: ProgramId?,
+    val chat: ChatRequest?,
+    val servicePath: String,
+    val isIdempotent: Boolean,
+)
+
+/** Sends a call to the VM that keeps its program, or runs it here. */
+internal class CallRouter(
+    private val self: String,
+    private val control: CoroutineDispatcher,
+    private val configuration: ConfigurationHolder,
+    private val membership: Membership,
+    private val keeper: ShardKeeper,
+    private val models: ModelCalls,
+    private val services: ServiceCalls,
+    private val forward: (peerAddress: String, call: Call) -> Flow<CallEvent>,
+) {
+    /** The whole answer to [call]. */
+    fun handle(call: Call): Flow<CallEvent> = flow {
+        val target = withContext(control) { resolve(call) }
+        when (target) {
+            is Resolved.Refused -> emitRefusal(target.refusal)
+            is Resolved.Found -> handle(call, target.target)
+        }
+    }
+
+    private suspend fun FlowCollector<CallEvent>.handle(call: Call, target: CallTarget) {
+        val program = target.program ?: return emitAll(run(call, target))
+        while (true) {
+            when (val place = withContext(control) { placeOf(program, call) }) {
+                is Place.Here -> return runKept(call, target, place.shard)
+                is Place.There -> return emitAll(forward(place.peerAddress, call))
+                is Place.Nowhere -> emitRefusal(place.refusal).also { return }
+                Place.NotYet -> delay(PLACE_RETRY)
+            }
+        }
+    }
+
+    private suspend fun FlowCollector<CallEvent>.runKept(call: Call, target: CallTarget, shard: Int) {
+        try {
+            emitAll(run(call, target))
+        } finally {
+            withContext(kotlinx.coroutines.NonCancellable + control) { keeper.callEnded(shard) }
+        }
+    }
+
+    private fun run(call: Call, target: CallTarget): Flow<CallEvent> =
+        if (target.chat != null) models.run(call, target, target.chat) else services.run(call, target)
+
+    private fun placeOf(program: ProgramId, call: Call): Place {
+        val shard = keeper.shardOf(program)
+        val owner = membership.map.shards.getOrNull(shard)
+        val peer = owner?.let { membership.leases()[it.vm]?.identity?.peerAddress }
+        return when {
+            keeper.isServing(shard) -> {
+                keeper.callBegan(shard)
+                Place.Here(shard)
+            }
+
+            membership.now() >= call.deadline -> Place.Nowhere(
+                Refusal(Reason.DEADLINE_EXCEEDED, "no VM kept the program before the deadline"),
+            )
+
+            owner != null && owner.vm != self && peer != null && call.hops < MAX_HOPS -> Place.There(peer)
+            else -> Place.NotYet
+        }
+    }
+
+    private fun resolve(call: Call): Resolved {
+        val path = call.path.substringBefore('?')
+        val isChat = path == CHAT_PATH
+        val chat = if (isChat) parseChat(call) ?: return refused(Reason.BAD_REQUEST, "unreadable chat request") else null
+        val parts = path.removePrefix(SERVICE_PREFIX).split('/', limit = 2)
+        val name = chat?.model ?: parts.first()
+        val route = configuration.current.route(call.account.organisation, name)
+            ?: return refused(Reason.UNKNOWN_ROUTE, "no route $name in ${call.account.organisation}")
+        if (route.accounts.isNotEmpty() && call.account.name !in route.accounts) {
+            return refused(Reason.ROUTE_NOT_ALLOWED, "account ${call.account} may not use route $name")
+        }
+        val isIdempotent = route.idempotent || call.method in SAFE_METHODS
+        val target = CallTarget(
+            route = route,
+            deployment = ScopedName(call.account.organisation, route.deployment),
+            program = programOf(call, isIdempotent),
+            chat = chat,
+            servicePath = "/" + call.path.removePrefix(SERVICE_PREFIX).removePrefix(name).removePrefix("/"),
+            isIdempotent = isIdempotent,
+        )
+        return Resolved.Found(target)
+    }
+
+    /** A call that may not be repeated is kept like a program even when it belongs to none. */
+    private fun programOf(call: Call, isIdempotent: Boolean): ProgramId? {
+        val name = call.header(CallHeaders.PROGRAM)
+        val key = call.header(CallHeaders.IDEMPOTENCY_KEY)
+        return when {
+            name != null -> ProgramId(call.account, name)
+            !isIdempotent && key != null -> ProgramId(call.account, "$CALL_PROGRAM_PREFIX$key")
+            else -> null
+        }
+    }
+
+    private fun parseChat(call: Call): ChatRequest? = try {
+        chatJson.decodeFromString<ChatRequest>(call.body.decodeToString())
+    } catch (_: SerializationException) {
+        null
+    }
+
+    private fun refused(reason: Reason, detail: String) = Resolved.Refused(Refusal(reason, detail))
+
+    private sealed interface Resolved {
+        data class Found(val target: CallTarget) : Resolved
+
+        data class Refused(val refusal: Refusal) : Resolved
+    }
+
+    private sealed interface Place {
+        data class Here(val shard: Int) : Place
+
+        data class There(val peerAddress: String) : Place
+
+        data class Nowhere(val refusal: Refusal) : Place
+
+        data object NotYet : Place
+    }
+
+    private companion object {
+        const val CHAT_PATH = "/v1/chat/completions"
+        const val SERVICE_PREFIX = "/services/"
+        const val CALL_PROGRAM_PREFIX = "call:"
+        const val MAX_HOPS = 2
+        val SAFE_METHODS = setOf("GET", "HEAD")
+        val PLACE_RETRY = 20.milliseconds
+    }
+}
+
+/** Emits the whole answer of [refusal]. */
+internal suspend fun FlowCollector<CallEvent>.emitRefusal(refusal: Refusal) {
+    refusal.toEvents().forEach { emit(it) }
+}
+
+/** Outcome of a call that reached an endpoint and failed there. */
+internal fun failedRun(reason: Reason, detail: String): Refusal = Refusal(reason, detail, Outcome.FAILED_RUN)
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ChatMessages.kt
@@ -0,0 +1,51 @@
+package io.jasmineford.daemon.call
+
+import io.jasmineford.core.program.Message
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.Json
+
+/** Request of the chat completions API, as far as the scheduler reads it. */
+@Serializable
+internal data class ChatRequest(
+    val model: String,
+    val messages: List<Message>,
+    val stream: Boolean = false,
+    @SerialName("max_tokens") val maxTokens: Int? = null,
+    val user: String? = null,
+)
+
+/** Part of a streamed answer. */
+@Serializable
+internal data class ChatDelta(val content: String = "")
+
+/** Whole message or a part of it. */
+@Serializable
+internal data class ChatChoice(
+    val index: Int = 0,
+    val message: Message? = null,
+    val delta: ChatDelta? = null,
+    @SerialName("finish_reason") val finishReason: String? = null,
+)
+
+/** Tokens as the engine reports them. */
+@Serializable
+internal data class ChatUsage(
+    @SerialName("prompt_tokens") val promptTokens: Long = 0,
+    @SerialName("completion_tokens") val completionTokens: Long = 0,
+    @SerialName("cached_tokens") val cachedTokens: Long = 0,
+)
+
+/** Answer, or one event of a streamed answer. */
+@Serializable
+internal data class ChatReply(
+    val model: String? = null,
+    val choices: List<ChatChoice> = emptyList(),
+    val usage: ChatUsage? = null,
+)
+
+/** JSON format of the chat completions API. */
+internal val chatJson = Json {
+    ignoreUnknownKeys = true
+    explicitNulls = false
+}
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ServiceClient.kt
@@ -0,0 +1,45 @@
+package io.jasmineford.daemon.call
+
+import io.jasmineford.core.call.Outcome
+import io.jasmineford.core.call.Reason
+import io.jasmineford.core.call.Refusal
+import io.ktor.client.HttpClient
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.header
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsBytes
+import io.ktor.http.HttpMethod
+import kotlinx.io.IOException
+import kotlin.time.Duration
+
+/** Answer of a service, or why there is none. */
+internal sealed interface ServiceReply {
+    /** The service answered, whatever its status. */
+    class Answered(val status: Int, val contentType: String, val body: ByteArray) : ServiceReply
+
+    /** No answer. */
+    data class Refused(val refusal: Refusal) : ServiceReply
+}
+
+/** Client of plain services. Only the headers in [FORWARDED_HEADERS] go on; the caller's key never does. */
+internal class ServiceClient(private val client: HttpClient) {
+    /** Sends [call] to the service. Without an answer, the outcome is unknown: the request may have arrived. */
+    suspend fun send(address: String, call: Call, path: String, limit: Duration): ServiceReply = try {
+        val reply = client.request("http://$address$path") {
+            method = HttpMethod.parse(call.method)
+            timeout { requestTimeoutMillis = limit.inWholeMilliseconds.coerceAtLeast(1) }
+            call.headers.filter { it.name.lowercase() in FORWARDED_HEADERS }.forEach { header(it.name, it.value) }
+            if (call.body.isNotEmpty()) setBody(call.body)
+        }
+        val contentType = reply.headers["Content-Type"] ?: "application/octet-stream"
+        ServiceReply.Answered(reply.status.value, contentType, reply.bodyAsBytes())
+    } catch (e: IOException) {
+        val detail = e.message ?: e.toString()
+        ServiceReply.Refused(Refusal(Reason.ENDPOINT_FAILED, detail, Outcome.OUTCOME_UNKNOWN))
+    }
+
+    private companion object {
+        val FORWARDED_HEADERS = setOf("content-type", "accept", "accept-language", "idempotency-key")
+    }
+}
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AdmissionGate.kt
@@ -0,0 +1,88 @@
+package io.jasmineford.daemon.caller
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.jasmineford.core.call.Reason
+import io.jasmineford.core.call.Refusal
+import io.jasmineford.core.config.ConfigurationHolder
+import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.config.account
+import io.jasmineford.core.config.accountOf
+import io.jasmineford.core.key.KeyDigest
+import io.jasmineford.core.key.digestOfKey
+import io.jasmineford.core.limit.AccountLimiter
+import io.jasmineford.core.limit.AccountRate
+import io.jasmineford.core.limit.Admission
+import io.jasmineford.core.time.MonotonicClock
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration
+
+/** Who a request runs for. [keyDigest] is null on open routes. */
+internal data class Caller(
+    val account: ScopedName,
+    val keyDigest: KeyDigest?,
+)
+
+/** Checks a caller's key and its account's rate. */
+internal class AdmissionGate(
+    private val control: CoroutineDispatcher,
+    private val clock: MonotonicClock,
+    private val configuration: ConfigurationHolder,
+    private val limiter: AccountLimiter,
+) {
+    /** Finds the account of [key]; waits for the account's rate until [deadline]. */
+    suspend fun admit(
+        key: String?,
+        openRoute: ScopedName?,
+        deadline: Duration,
+    ): Result<Caller, Refusal> {
+        val identified = withContext(control) { identify(key, openRoute) }
+        val caller = identified.component1() ?: return identified
+        while (true) {
+            val admission = withContext(control) { limiter.admit(caller.account, rateOf(caller)) }
+            when (admission) {
+                Admission.Admitted -> return Ok(caller)
+                is Admission.Wait -> if (clock.now() + admission.delay > deadline) return Err(exceeded(admission))
+                else delay(admission.delay)
+            }
+        }
+    }
+
+    private fun identify(key: String?, openRoute: ScopedName?): Result<Caller, Refusal> {
+        val route = openRoute?.let { configuration.current.organisations[it.organisation]?.routes?.get(it.name) }
+        if (key == null && openRoute != null && route?.open == true) {
+            return Ok(Caller(ScopedName(openRoute.organisation, "$OPEN_PREFIX${route.name}"), keyDigest = null))
+        }
+        if (key == null) return Err(Refusal(Reason.MISSING_KEY, "expected an Authorization header, actual none"))
+        if (!configuration.isProvedCurrent()) {
+            val age = configuration.proofAge()
+            return Err(Refusal(Reason.CONFIGURATION_TOO_OLD, "the last proof of the configuration is $age old"))
+        }
+        val digest = digestOfKey(key)
+        val account = configuration.current.accountOf(digest)
+            ?: return Err(Refusal(Reason.UNKNOWN_KEY, "no account has this key"))
+        return Ok(Caller(account, digest))
+    }
+
+    private fun rateOf(caller: Caller): AccountRate {
+        val current = configuration.current
+        val account = current.account(caller.account)
+        if (account != null) return AccountRate(account.ratePerSecond, account.burst)
+        val routeName = caller.account.name.removePrefix(OPEN_PREFIX)
+        val route = current.organisations[caller.account.organisation]?.routes?.get(routeName)
+        return AccountRate(route?.openRatePerSecond ?: 1.0, route?.openBurst ?: 1.0)
+    }
+
+    private fun exceeded(wait: Admission.Wait) = Refusal(
+        reason = Reason.RATE_EXCEEDED,
+        detail = "the rate allows the request in ${wait.delay}, after its deadline",
+        retryAfter = wait.delay,
+    )
+
+    private companion object {
+        const val OPEN_PREFIX = "open:"
+    }
+}
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/JournalDriver.kt
@@ -0,0 +1,91 @@
+package io.jasmineford.daemon.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jasmineford.core.program.Journal
+import io.jasmineford.core.program.JournalProgress
+import io.jasmineford.core.program.JournalRecord
+import io.jasmineford.core.program.SegmentWrite
+import io.jasmineford.daemon.warnEvent
+import io.jasmineford.store.ABSENT_VERSION
+import io.jasmineford.store.ObjectStore
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.TreeMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Whether a record is durable. */
+enum class Durability {
+    /** The record is durable. */
+    DURABLE,
+
+    /** Another VM sealed the journal; the record is not durable and will not become so. */
+    FENCED,
+
+    /** Not known yet: the store did not answer in time, and the record may become durable later. */
+    UNKNOWN,
+}
+
+/** Makes the store calls of one journal. All functions run on the control thread. */
+class JournalDriver(
+    private val scope: CoroutineScope,
+    private val store: ObjectStore,
+    val journal: Journal,
+) {
+    private val waiters = TreeMap<Long, CompletableDeferred<Durability>>()
+
+    /** Segments written so far. */
+    var writes: Long = 0
+        private set
+
+    /** Writes due segments until the journal is fenced or the scope is cancelled. */
+    fun start() = scope.launch {
+        while (!journal.isFenced) {
+            val write = journal.poll()
+            if (write == null) delay(POLL_INTERVAL) else send(write)
+        }
+    }
+
+    /** Appends [records] and waits until all are durable, the journal is fenced or [timeout] passes. */
+    suspend fun append(records: List<JournalRecord>, timeout: Duration): Durability {
+        if (records.isEmpty()) return Durability.DURABLE
+        if (journal.isFenced) return Durability.FENCED
+        val position = records.map { journal.append(it) }.last()
+        val waiter = CompletableDeferred<Durability>()
+        waiters[position] = waiter
+        return withTimeoutOrNull(timeout) { waiter.await() } ?: Durability.UNKNOWN
+    }
+
+    private suspend fun send(write: SegmentWrite) {
+        var progress: JournalProgress
+        do {
+            writes++
+            progress = journal.onReply(store.put(write.key, write.value, ABSENT_VERSION, write.nonce))
+            if (progress is JournalProgress.Retry) delay(RETRY_INTERVAL)
+        } while (progress is JournalProgress.Retry)
+        when (progress) {
+            is JournalProgress.Durable -> finish(waiters.headMap(progress.upTo, true), Durability.DURABLE)
+
+            is JournalProgress.Fenced -> {
+                log.warnEvent("journal_fenced", "key" to write.key)
+                finish(waiters, Durability.FENCED)
+            }
+
+            JournalProgress.Retry -> error("expected the end of the retries, actual another retry")
+        }
+    }
+
+    private fun finish(done: MutableMap<Long, CompletableDeferred<Durability>>, durability: Durability) {
+        done.values.forEach { it.complete(durability) }
+        done.clear()
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        val POLL_INTERVAL = 1.milliseconds
+        val RETRY_INTERVAL = 100.milliseconds
+    }
+}
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
@@ -0,0 +1,34 @@
+package io.jasmineford.daemon.peer
+
+import io.grpc.Server
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder
+import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.daemon.call.Call
+import io.jasmineford.protocol.ForwardedCall
+import io.jasmineford.protocol.PeerGrpcKt
+import io.jasmineford.protocol.ProbeReply
+import io.jasmineford.protocol.ProbeRequest
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.map
+import java.net.InetSocketAddress
+import io.jasmineford.daemon.call.CallEvent as Event
+import io.jasmineford.protocol.CallEvent as EventMessage
+
+/** What the peer port needs from the daemon. */
+internal class PeerPort(
+    val clock: MonotonicClock,
+    val handle: (Call) -> Flow<Event>,
+    val probe: suspend () -> ProbeReply,
+)
+
+/** gRPC service for other daemons. */
+internal class PeerService(private val port: PeerPort) : PeerGrpcKt.PeerCoroutineImplBase() {
+    override fun forwardCall(request: ForwardedCall): Flow<EventMessage> =
+        port.handle(request.toCall(port.clock.now())).map { it.toMessage() }
+
+    override suspend fun probe(request: ProbeRequest): ProbeReply = port.probe()
+}
+
+/** Server of [service] on [host] and [port]; port 0 lets the system choose. */
+internal fun peerServer(host: String, port: Int, service: PeerService): Server =
+    NettyServerBuilder.forAddress(InetSocketAddress(host, port)).addService(service).build()
--- /dev/null
+++ b/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/engine/EngineMessages.kt
@@ -0,0 +1,50 @@
+@file:Suppress("ConstructorParameterNaming") // Field names of the chat completions API.
+
+package io.jasmineford.standin.engine
+
+import kotlinx.serialization.Serializable
+
+/** One chat message. */
+@Serializable
+data class EngineMessage(
+    val role: String,
+    val content: String,
+)
+
+/** Request of the chat completions API; [user] carries the program, so that its cache entries can be found. */
+@Serializable
+data class EngineRequest(
+    val model: String,
+    val messages: List<EngineMessage>,
+    val stream: Boolean = false,
+    val max_tokens: Int? = null,
+    val user: String? = null,
+)
+
+/** Tokens of one request; [cached_tokens] of the prompt were found in the prefix cache. */
+@Serializable
+data class EngineUsage(
+    val prompt_tokens: Int,
+    val completion_tokens: Int,
+    val cached_tokens: Int = 0,
+)
+
+/** Part of a streamed message. */
+@Serializable
+data class EngineDelta(val content: String)
+
+/** A whole message or a part of one. */
+@Serializable
+data class EngineChoice(
+    val index: Int = 0,
+    val message: EngineMessage? = null,
+    val delta: EngineDelta? = null,
+)
+
+/** Reply or streamed event of the chat completions API. */
+@Serializable
+data class EngineReply(
+    val model: String? = null,
+    val choices: List<EngineChoice> = emptyList(),
+    val usage: EngineUsage? = null,
+)
--- /dev/null
+++ b/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/engine/EngineServer.kt
@@ -0,0 +1,114 @@
+package io.jasmineford.standin.engine
+
+import io.jasmineford.standin.LoopbackServer
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.response.respondTextWriter
+import io.ktor.server.routing.delete
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Model engine stand-in: chat completions as JSON or server-sent events with a deterministic answer, a prefix cache and
+ * a load report.
+ *
+ * @param port 0 lets the system choose.
+ * @param tokenInterval time between two streamed tokens.
+ * @param onRequest sees the raw headers of each request, so that a test can check what reached the engine.
+ */
+class EngineServer(
+    private val name: String,
+    port: Int = 0,
+    private val tokenInterval: Duration = 1.milliseconds,
+    private val onRequest: (headers: Map<String, List<String>>, body: String) -> Unit = { _, _ -> },
+) : AutoCloseable {
+    private val mutex = Mutex()
+    private val cache = PrefixCache()
+    private var running = 0
+    private val server = LoopbackServer(port) {
+        routing {
+            post("/v1/chat/completions") { call.complete() }
+            get("/load") { call.respondText(mutex.withLock { """{"running":$running,"cached":${cache.size}}""" }) }
+            get("/kv") { call.respondText(json.encodeToString(mutex.withLock { cache.programs() })) }
+            delete("/kv/{program}") {
+                mutex.withLock { cache.drop(call.parameters["program"].orEmpty()) }
+                call.respondText("", status = HttpStatusCode.NoContent)
+            }
+        }
+    }
+
+    /** Starts listening and returns the port. */
+    suspend fun start(): Int = server.start()
+
+    override fun close() = server.close()
+
+    private suspend fun ApplicationCall.complete() {
+        val text = receiveText()
+        onRequest(request.headers.entries().associate { it.key to it.value }, text)
+        val body = try {
+            json.decodeFromString<EngineRequest>(text)
+        } catch (e: SerializationException) {
+            respondText("bad request: ${e.message}", status = HttpStatusCode.BadRequest)
+            return
+        }
+        mutex.withLock { running++ }
+        try {
+            answer(body)
+        } finally {
+            mutex.withLock { running-- }
+        }
+    }
+
+    private suspend fun ApplicationCall.answer(body: EngineRequest) {
+        val words = answerWords(body)
+        val prompt = body.messages.sumOf { it.content.split(' ').size }
+        val cached = mutex.withLock { cache.matchAndStore(body.user.orEmpty(), body.messages, words) }
+        val usage = EngineUsage(prompt_tokens = prompt, completion_tokens = words.size, cached_tokens = cached)
+        if (body.stream) {
+            stream(words, usage)
+        } else {
+            delay(tokenInterval * words.size)
+            val message = EngineMessage("assistant", words.joinToString(" "))
+            val reply = EngineReply(model = body.model, choices = listOf(EngineChoice(message = message)), usage = usage)
+            respondText(json.encodeToString(reply), ContentType.Application.Json)
+        }
+    }
+
+    private suspend fun ApplicationCall.stream(words: List<String>, usage: EngineUsage) {
+        respondTextWriter(ContentType.Text.EventStream) {
+            for ((index, word) in words.withIndex()) {
+                delay(tokenInterval)
+                val delta = EngineDelta(content = if (index == 0) word else " $word")
+                val chunk = EngineReply(choices = listOf(EngineChoice(delta = delta)))
+                write("id: $index\ndata: ${json.encodeToString(chunk)}\n\n")
+                flush()
+            }
+            write("data: ${json.encodeToString(EngineReply(usage = usage))}\n\n")
+            write("data: [DONE]\n\n")
+            flush()
+        }
+    }
+
+    private fun answerWords(body: EngineRequest): List<String> {
+        val last = body.messages.lastOrNull()?.content.orEmpty()
+        val text = "$name answers message ${body.messages.size}: $last"
+        return text.split(' ').take(body.max_tokens ?: Int.MAX_VALUE)
+    }
+}
+
+internal val json = Json {
+    ignoreUnknownKeys = true
+    encodeDefaults = true
+    explicitNulls = false
+}
--- /dev/null
+++ b/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/service/ServiceServer.kt
@@ -0,0 +1,58 @@
+package io.jasmineford.standin.service
+
+import io.jasmineford.standin.LoopbackServer
+import io.ktor.http.ContentType
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+
+/** One executed side effect. */
+data class ServiceEffect(
+    val path: String,
+    val body: String,
+)
+
+/**
+ * Plain service stand-in: `GET /stock/{item}` is repeatable, every `POST` is a side effect that is recorded.
+ *
+ * @param port 0 lets the system choose.
+ * @param onRequest sees the raw headers of each request.
+ */
+class ServiceServer(
+    port: Int = 0,
+    private val onRequest: (headers: Map<String, List<String>>) -> Unit = {},
+) : AutoCloseable {
+    private val mutex = Mutex()
+    private val recorded = mutableListOf<ServiceEffect>()
+    private val server = LoopbackServer(port) {
+        routing {
+            get("/stock/{item}") {
+                onRequest(call.request.headers.entries().associate { it.key to it.value })
+                val item = call.parameters["item"]
+                call.respondText("""{"item":"$item","inStock":7}""", ContentType.Application.Json)
+            }
+            post("/{path...}") {
+                onRequest(call.request.headers.entries().associate { it.key to it.value })
+                val path = call.parameters.getAll("path").orEmpty().joinToString("/")
+                val body = call.receiveText()
+                val count = mutex.withLock {
+                    recorded += ServiceEffect(path, body)
+                    recorded.size
+                }
+                call.respondText("""{"path":"$path","receipt":$count}""", ContentType.Application.Json)
+            }
+        }
+    }
+
+    /** Starts listening and returns the port. */
+    suspend fun start(): Int = server.start()
+
+    /** Side effects so far, in order. */
+    suspend fun effects(): List<ServiceEffect> = mutex.withLock { recorded.toList() }
+
+    override fun close() = server.close()
+}
