--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/call/Reason.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/call/Reason.kt
@@ -42,5 +42,6 @@
     ENDPOINT_FAILED("endpoint-failed", 502, "The endpoint failed."),
     ENDPOINT_TIMEOUT("endpoint-timeout", 504, "The endpoint did not answer in time."),
     INTENT_UNRESOLVED("intent-unresolved", 409, "An earlier attempt may have run; its outcome is not known."),
+    ANSWER_NOT_KEPT("answer-not-kept", 409, "The call ran; its answer was too large to be kept or is not text."),
     FENCED("fenced", 503, "This VM no longer keeps the program."),
 }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
@@ -43,6 +43,9 @@
     var map: ShardMap = ShardMap()
         private set
 
+    /** Store revision of [map]. */
+    val mapRevision: Long get() = mapVersion
+
     /** Incarnation of this VM; changes when the lease was revoked. */
     val incarnation: Long get() = own.incarnation
 
@@ -72,6 +75,14 @@
         nextRenewal = Duration.ZERO
     }
 
+    /** Gives up every right of this incarnation after its journal was sealed. A new incarnation follows. */
+    fun abandon() {
+        own = Lease(identity = self, incarnation = incarnations(), renewal = 0, isLeaving = own.isLeaving)
+        leaseWrite = null
+        validUntil = Duration.ZERO
+        nextRenewal = Duration.ZERO
+    }
+
     /** Store calls that are due. */
     fun poll(): List<MembershipAction> = buildList {
         renewalIfDue()?.let { add(it) }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/JournalRecord.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/JournalRecord.kt
@@ -1,13 +1,31 @@
 package io.jasmineford.core.program
 
 import io.jasmineford.core.call.Outcome
+import io.jasmineford.core.call.Reason
 import io.jasmineford.core.config.ProgramBudget
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** One durable change of a program's state. */
+/** One durable change of a program's state, or a mark of a shard's section. */
 @Serializable
 sealed interface JournalRecord {
+    /**
+     * A section of [shard] begins: the checkpoints up to [ShardAdopted] hold the shard's whole state. [epoch] is the
+     * epoch of the shard's owner.
+     */
+    @Serializable
+    @SerialName("adopting")
+    data class ShardAdopting(val shard: Int, val epoch: Long) : JournalRecord
+
+    /** The checkpoints of the section are complete. Later records of the shard in this journal continue it. */
+    @Serializable
+    @SerialName("adopted")
+    data class ShardAdopted(val shard: Int, val epoch: Long) : JournalRecord
+}
+
+/** One durable change of a program's state. */
+@Serializable
+sealed interface ProgramRecord : JournalRecord {
     /** Program that the record belongs to. */
     val program: ProgramId
 
@@ -18,9 +36,15 @@
         override val program: ProgramId,
         val parent: String? = null,
         val budget: ProgramBudget,
-    ) : JournalRecord
+    ) : ProgramRecord
 
-    /** A turn is part of the history. [digest] is the digest of the whole history after it. */
+    /**
+     * A turn is part of the history.
+     *
+     * @property digest digest of the whole history after the turn.
+     * @property requestDigest recognises the same request when it is sent again.
+     * @property elapsedMs wall time that the program's tree has used so far.
+     */
     @Serializable
     @SerialName("turn")
     data class TurnCommitted(
@@ -29,7 +53,9 @@
         val messages: List<Message>,
         val usage: Usage,
         val digest: String,
-    ) : JournalRecord
+        val requestDigest: String = "",
+        val elapsedMs: Long = 0,
+    ) : ProgramRecord
 
     /** A call that may not be repeated is about to be dispatched. */
     @Serializable
@@ -39,9 +65,9 @@
         val turn: Int,
         val idempotencyKey: String,
         val requestDigest: String,
-    ) : JournalRecord
+    ) : ProgramRecord
 
-    /** How a call that may not be repeated ended. */
+    /** How a call that may not be repeated ended. [Outcome.REFUSED_NOT_RUN] withdraws the intent. */
     @Serializable
     @SerialName("outcome")
     data class OutcomeRecorded(
@@ -49,20 +75,62 @@
         val turn: Int,
         val idempotencyKey: String,
         val outcome: Outcome,
-        val status: Int,
-        val body: String,
-    ) : JournalRecord
+        val reply: EffectReply,
+        val elapsedMs: Long = 0,
+    ) : ProgramRecord
+
+    /** Budget that a call used without becoming part of the history. */
+    @Serializable
+    @SerialName("spent")
+    data class BudgetSpent(
+        override val program: ProgramId,
+        val calls: Int,
+        val tokens: Long,
+        val elapsedMs: Long = 0,
+    ) : ProgramRecord
+
+    /** The first messages of the tail, [HistoryRef.messages] in number, are stored in the object [ref]. */
+    @Serializable
+    @SerialName("stored")
+    data class HistoryStored(
+        override val program: ProgramId,
+        val ref: HistoryRef,
+    ) : ProgramRecord
 
     /** The program has ended. */
     @Serializable
     @SerialName("closed")
-    data class ProgramClosed(override val program: ProgramId) : JournalRecord
+    data class ProgramClosed(override val program: ProgramId) : ProgramRecord
 
-    /** The program's whole state, written by a new keeper after replay. */
+    /** The program's state without its messages and effects, which follow in [CheckpointPart]s. */
     @Serializable
     @SerialName("checkpoint")
     data class Checkpoint(
         override val program: ProgramId,
         val state: ProgramState,
-    ) : JournalRecord
+    ) : ProgramRecord
+
+    /** Messages and effects that continue a [Checkpoint]. */
+    @Serializable
+    @SerialName("part")
+    data class CheckpointPart(
+        override val program: ProgramId,
+        val messages: List<Message> = emptyList(),
+        val effects: Map<String, Effect> = emptyMap(),
+    ) : ProgramRecord
 }
+
+/**
+ * Answer of a call that may not be repeated, kept so that the same answer can be given again.
+ *
+ * @property reason why there is no plain result.
+ * @property isBodyKept false when the body was too large to keep.
+ */
+@Serializable
+data class EffectReply(
+    val status: Int,
+    val contentType: String = "application/json",
+    val body: String = "",
+    val reason: Reason? = null,
+    val isBodyKept: Boolean = true,
+)
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/Message.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/Message.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.core.program
 
+import com.google.common.base.Utf8
 import com.google.common.hash.Hashing
 import kotlinx.serialization.Serializable
 
@@ -29,3 +30,10 @@
         .putInt(message.content.length).putUnencodedChars(message.content)
         .hash().toString()
 }
+
+/** Bytes of [text] in UTF-8; an unpaired surrogate counts as a replacement character. */
+internal fun utf8Bytes(text: String): Int = try {
+    Utf8.encodedLength(text)
+} catch (_: IllegalArgumentException) {
+    text.toByteArray().size
+}
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ShardKeeping.kt
@@ -0,0 +1,204 @@
+package io.jasmineford.core.program
+
+import com.github.michaelbull.result.Result
+import io.jasmineford.store.ObjectPage
+import io.jasmineford.store.StoreError
+import io.jasmineford.store.StoredObject
+
+/**
+ * Takes shards over by replay, hands them over after a drain, and trims the journal, for one incarnation of a VM.
+ *
+ * A shard is served after its programs were replayed from the journals of its map entry, its section is durable in this
+ * incarnation's own [journal] and the map lists only that one. When the journal is fenced, all programs are dropped at
+ * once: memory may hold turns that never became durable.
+ *
+ * @param trimSegments number of stored segments above which all shards get new sections and older segments are deleted.
+ */
+class ShardKeeping(
+    private val rights: ShardRights,
+    private val journal: Journal,
+    private val book: ProgramBook,
+    private val shardOf: (ProgramId) -> Int,
+    private val nonces: () -> String,
+    private val trimSegments: Int = DEFAULT_TRIM_SEGMENTS,
+) {
+    private var replay: ShardReplay? = null
+    private val adopting = HashMap<Int, Adoption>()
+    private val adopted = HashMap<Int, Long>()
+    private val written = HashSet<Int>()
+    private val inFlight = HashMap<Int, Int>()
+    private val draining = HashMap<Int, Long>()
+    private var trim: Trim? = null
+
+    /** Whether this VM keeps [shard] and may begin calls for it. */
+    fun isServing(shard: Int): Boolean {
+        val owner = rights.owners.getOrNull(shard) ?: return false
+        val isAdopted = adopted[shard] == owner.epoch && owner.journals == listOf(journal.id)
+        return isAdopted && shard !in draining && !journal.isFenced && rights.mayAct(shard)
+    }
+
+    /** Checks [request] and begins its turn; null when this VM does not serve the program's shard. */
+    fun begin(request: TurnRequest): TurnDecision? {
+        val shard = shardOf(request.program)
+        if (!isServing(shard)) return null
+        val decision = book.begin(request)
+        if (decision is TurnDecision.Run) decision.opened?.let { journal.append(it) }
+        return decision
+    }
+
+    /** Counts a call of [shard] as in flight, so that a drain waits for it. */
+    fun callBegan(shard: Int) {
+        inFlight.merge(shard, 1, Int::plus)
+    }
+
+    /** Ends what [callBegan] began. */
+    fun callEnded(shard: Int) {
+        inFlight.merge(shard, -1, Int::plus)
+    }
+
+    /** What is due now. */
+    fun poll(): List<KeeperAction> {
+        if (journal.isFenced) {
+            dropAll()
+            return emptyList()
+        }
+        dropLost()
+        finishAdoptions()
+        return listOfNotNull(replayStep(), reduction(), release(), deletion())
+    }
+
+    /** Takes the reply to [ReplayStep.ListPage]. */
+    fun onPage(step: ReplayStep, reply: Result<ObjectPage, StoreError>) = onStep(step) { onPage(reply) }
+
+    /** Takes the reply to [ReplayStep.ReadNext]. */
+    fun onRead(step: ReplayStep, reply: Result<StoredObject?, StoreError>) = onStep(step) { onRead(reply) }
+
+    /** Takes the reply to [ReplayStep.Seal]. */
+    fun onSealed(step: ReplayStep, reply: Result<StoredObject, StoreError>) = onStep(step) { onSealed(reply) }
+
+    private fun onStep(step: ReplayStep, take: JournalReader.() -> Unit) {
+        val current = replay ?: return
+        if (current.step() != step) return
+        current.onReply(take)
+        if (current.step() == null) finishReplay(current)
+    }
+
+    private fun dropAll() {
+        book.dropIf { true }
+        replay = null
+        adopting.clear()
+        adopted.clear()
+    }
+
+    private fun dropLost() {
+        val owners = rights.owners
+        val lost = adopted.filter { (shard, epoch) -> !rights.isOwn(shard) || owners[shard].epoch != epoch }.keys.toSet()
+        if (lost.isEmpty()) return
+        adopted.keys.removeAll(lost)
+        draining.keys.removeAll(lost)
+        book.dropIf { shardOf(it) in lost }
+    }
+
+    private fun replayStep(): KeeperAction? {
+        if (replay == null) startReplay()
+        val current = replay ?: return null
+        val step = current.step()
+        if (step == null) finishReplay(current)
+        return step?.let { KeeperAction.Replay(it) }
+    }
+
+    private fun startReplay() {
+        val owners = rights.owners
+        val due = owners.indices.filter {
+            rights.mayAct(it) && adopted[it] != owners[it].epoch && adopting[it]?.epoch != owners[it].epoch
+        }
+        if (due.isEmpty()) return
+        // Records of a shard that came back are in this VM's own journal; the read of it must see all of them.
+        val hasOwnRecords = due.any { it in written }
+        if (hasOwnRecords && !journal.isIdle) return
+        val skipped = if (hasOwnRecords) emptySet() else setOf(journal.id)
+        replay = ShardReplay(due.associateWith { owners[it] }, skipped, journal.id, rights.mapRevision, shardOf, nonces)
+    }
+
+    private fun finishReplay(done: ShardReplay) {
+        replay = null
+        val programs = done.programs()
+        for ((shard, epoch) in done.epochs) {
+            if (!rights.mayAct(shard) || rights.owners[shard].epoch != epoch) continue
+            val ofShard = programs.filterKeys { shardOf(it) == shard }
+            adopting[shard] = Adoption(epoch, ofShard, writeSection(shard, epoch, ofShard))
+        }
+    }
+
+    /** Appends a section of [shard] and returns the position of its end. */
+    private fun writeSection(shard: Int, epoch: Long, programs: Map<ProgramId, ProgramState>): Long {
+        written += shard
+        journal.append(JournalRecord.ShardAdopting(shard, epoch))
+        programs.forEach { (program, state) -> state.toCheckpoint(program).forEach { journal.append(it) } }
+        return journal.append(JournalRecord.ShardAdopted(shard, epoch))
+    }
+
+    private fun finishAdoptions() {
+        val done = adopting.filterValues { it.position <= journal.durable }
+        for ((shard, adoption) in done) {
+            adopting.remove(shard)
+            if (!rights.isOwn(shard) || rights.owners[shard].epoch != adoption.epoch) continue
+            adoption.programs.forEach { (program, state) -> book.adopt(program, state) }
+            adopted[shard] = adoption.epoch
+        }
+    }
+
+    private fun reduction(): KeeperAction? {
+        val owners = rights.owners
+        val due = adopted.keys.filter { rights.mayAct(it) && owners[it].journals != listOf(journal.id) }
+        return if (due.isEmpty()) null else KeeperAction.ReduceJournals(due.toSet())
+    }
+
+    private fun release(): KeeperAction? {
+        val moving = rights.toHandOver().filter { it in draining || isServing(it) }.toSet()
+        // A release may still take effect until the map has moved past the epoch that it was based on.
+        draining.entries.removeIf { (shard, epoch) -> shard !in moving && rights.mapEpoch > epoch }
+        moving.forEach { draining.putIfAbsent(it, NOT_RELEASED) }
+        // Records that are not durable yet would be missing from the new owner's replay.
+        val drained = moving.filter { (inFlight[it] ?: 0) == 0 }.toSet()
+        if (drained.isEmpty() || !journal.isIdle || drained.none(rights::mayAct)) return null
+        drained.forEach { draining[it] = rights.mapEpoch }
+        return KeeperAction.Release(drained)
+    }
+
+    private fun deletion(): KeeperAction? {
+        val pending = trim
+        if (pending == null) {
+            if (journal.storedSegments > trimSegments && isTrimSafe()) trim = newSections()
+            return null
+        }
+        if (journal.durable < pending.lastPosition) return null
+        trim = null
+        val dead = if (isTrimSafe()) journal.trimBefore(pending.firstPosition) else emptyList()
+        return if (dead.isEmpty()) null else KeeperAction.Delete(dead)
+    }
+
+    private fun newSections(): Trim {
+        val first = journal.appended + 1
+        val programs = book.states().entries.groupBy { shardOf(it.key) }
+        for ((shard, epoch) in adopted) {
+            writeSection(shard, epoch, programs[shard].orEmpty().associate { it.key to it.value })
+        }
+        return Trim(firstPosition = first, lastPosition = journal.appended)
+    }
+
+    /** Whether only shards that this VM serves still need this journal. */
+    private fun isTrimSafe(): Boolean {
+        val users = rights.owners.indices.filter { journal.id in rights.owners[it].journals }
+        return replay == null && adopting.isEmpty() && users.isNotEmpty() && users.all(::isServing)
+    }
+
+    private class Adoption(val epoch: Long, val programs: Map<ProgramId, ProgramState>, val position: Long)
+
+    private class Trim(val firstPosition: Long, val lastPosition: Long)
+
+    private companion object {
+        const val DEFAULT_TRIM_SEGMENTS = 256
+        const val NOT_RELEASED = -1L
+    }
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -175,10 +175,11 @@
         router = CallRouter(
             self = settings.vm,
             control = control,
+            clock = clock,
             configuration = holder,
             membership = membership,
             keeper = keeper,
-            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client)),
+            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client, clock)),
             services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
             forward = peers::forward,
         )
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/AnswerWriter.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/AnswerWriter.kt
@@ -57,8 +57,7 @@
             refusal.toEvents().forEach { events.emit(it) }
             return
         }
-        val problem = "event: problem\ndata: ${Json.encodeToString(refusal.toProblem())}\n\n"
-        events.emit(CallEvent.Data(problem.toByteArray()))
+        events.emit(refusal.toProblemEvent())
         sendOutcome(refusal.outcome, refusal.reason.label)
         events.emit(CallEvent.End(refusal.outcome, refusal.reason))
     }
@@ -66,7 +65,7 @@
     private suspend fun sendHead() {
         if (isHeadSent) return
         isHeadSent = true
-        val headers = listOf(HeaderField("Content-Type", "text/event-stream"), HeaderField("Cache-Control", "no-cache"))
+        val headers = listOf(HeaderField("Content-Type", EVENT_STREAM), HeaderField("Cache-Control", "no-cache"))
         events.emit(CallEvent.Head(OK, headers + turnHeaders()))
     }
 
@@ -96,3 +95,16 @@
         const val OK = 200
     }
 }
+
+/** Rest of an answer that began with [head] and can't be continued; a stream tells its outcome in events. */
+internal fun Refusal.toTrailer(head: CallEvent.Head): List<CallEvent> {
+    val isStream = head.headers.any { it.name.equals("Content-Type", ignoreCase = true) && it.value == EVENT_STREAM }
+    val outcomeEvent = "event: outcome\ndata: {\"outcome\":\"${outcome.label}\",\"reason\":\"${reason.label}\"}\n\n"
+    val events = if (isStream) listOf(toProblemEvent(), CallEvent.Data(outcomeEvent.toByteArray())) else emptyList()
+    return events + CallEvent.End(outcome, reason)
+}
+
+private fun Refusal.toProblemEvent() =
+    CallEvent.Data("event: problem\ndata: ${Json.encodeToString(toProblem())}\n\n".toByteArray())
+
+private const val EVENT_STREAM = "text/event-stream"
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/Call.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/Call.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.daemon.call
 
+import com.google.common.hash.Hashing
 import io.jasmineford.core.call.Outcome
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.call.Refusal
@@ -40,6 +41,12 @@
     fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 }
 
+/** Digest of method, path and body; the same for the same request when it is sent again. */
+fun Call.digest(): String = Hashing.sha256().newHasher()
+    .putUnencodedChars(method).putUnencodedChars(" ").putUnencodedChars(path).putUnencodedChars("\n")
+    .putBytes(body)
+    .hash().toString()
+
 /** Part of an answer. An answer is one [Head], any number of [Data] and one [End]. */
 sealed interface CallEvent {
     /** Status and headers. */
@@ -74,6 +81,7 @@
     const val REASON = "Jasmineford-Reason"
     const val VM = "Jasmineford-Vm"
     const val ORGANISATION = "Jasmineford-Organisation"
+    const val DURABLE = "Jasmineford-Durable"
     const val IDEMPOTENCY_KEY = "Idempotency-Key"
 }
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/CallRouter.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/CallRouter.kt
@@ -9,8 +9,11 @@
 import io.jasmineford.core.config.route
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.program.ProgramId
+import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.daemon.control.CallCount
 import io.jasmineford.daemon.control.ShardKeeper
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.FlowCollector
@@ -34,6 +37,7 @@
 internal class CallRouter(
     private val self: String,
     private val control: CoroutineDispatcher,
+    private val clock: MonotonicClock,
     private val configuration: ConfigurationHolder,
     private val membership: Membership,
     private val keeper: ShardKeeper,
@@ -51,22 +55,48 @@
     }
 
     private suspend fun FlowCollector<CallEvent>.handle(call: Call, target: CallTarget) {
+        call.headerFault()?.let { return emitRefusal(Refusal(Reason.BAD_REQUEST, it)) }
         val program = target.program ?: return emitAll(run(call, target))
         while (true) {
             when (val place = withContext(control) { placeOf(program, call) }) {
-                is Place.Here -> return runKept(call, target, place.shard)
-                is Place.There -> return emitAll(forward(place.peerAddress, call))
+                is Place.Here -> return runKept(call, target, place.count)
+                is Place.There -> if (forwarded(place.peerAddress, call)) return else delay(PLACE_RETRY)
                 is Place.Nowhere -> emitRefusal(place.refusal).also { return }
                 Place.NotYet -> delay(PLACE_RETRY)
             }
         }
     }
 
-    private suspend fun FlowCollector<CallEvent>.runKept(call: Call, target: CallTarget, shard: Int) {
+    private suspend fun FlowCollector<CallEvent>.runKept(call: Call, target: CallTarget, count: CallCount) {
         try {
             emitAll(run(call, target))
         } finally {
-            withContext(kotlinx.coroutines.NonCancellable + control) { keeper.callEnded(shard) }
+            withContext(NonCancellable + control) { count.end() }
+        }
+    }
+
+    /**
+     * Forwards [call]; false when the keeper was lost before the answer began. The call may then be sent again: a turn
+     * that was committed is recognised by its digest, a call that may not be repeated by its idempotency key, and a
+     * keeper that lost its shard can't make an intent durable any more.
+     */
+    private suspend fun FlowCollector<CallEvent>.forwarded(peerAddress: String, call: Call): Boolean {
+        var head: CallEvent.Head? = null
+        try {
+            forward(peerAddress, call).collect { event ->
+                if (event is CallEvent.Head) head = event
+                emit(event)
+            }
+            return true
+        } catch (e: KeeperLostException) {
+            val refusal = Refusal(Reason.KEEPER_LOST, e.problem, Outcome.OUTCOME_UNKNOWN)
+            val begun = head
+            when {
+                begun != null -> refusal.toTrailer(begun).forEach { emit(it) }
+                clock.now() >= call.deadline -> emitRefusal(refusal)
+                else -> return false
+            }
+            return true
         }
     }
 
@@ -78,12 +108,9 @@
         val owner = membership.map.shards.getOrNull(shard)
         val peer = owner?.let { membership.leases()[it.vm]?.identity?.peerAddress }
         return when {
-            keeper.isServing(shard) -> {
-                keeper.callBegan(shard)
-                Place.Here(shard)
-            }
+            keeper.isServing(shard) -> Place.Here(keeper.callBegan(shard))
 
-            membership.now() >= call.deadline -> Place.Nowhere(
+            clock.now() >= call.deadline -> Place.Nowhere(
                 Refusal(Reason.DEADLINE_EXCEEDED, "no VM kept the program before the deadline"),
             )
 
@@ -121,7 +148,8 @@
         val key = call.header(CallHeaders.IDEMPOTENCY_KEY)
         return when {
             name != null -> ProgramId(call.account, name)
-            !isIdempotent && key != null -> ProgramId(call.account, "$CALL_PROGRAM_PREFIX$key")
+            // A slash in the key would make it the sub-agent of a program that doesn't exist.
+            !isIdempotent && key != null -> ProgramId(call.account, CALL_PROGRAM_PREFIX + key.replace("/", "%2F"))
             else -> null
         }
     }
@@ -141,7 +169,7 @@
     }
 
     private sealed interface Place {
-        data class Here(val shard: Int) : Place
+        class Here(val count: CallCount) : Place
 
         data class There(val peerAddress: String) : Place
 
@@ -160,6 +188,26 @@
     }
 }
 
+/** What is wrong with the product's own headers, or null. */
+private fun Call.headerFault(): String? {
+    val turn = header(CallHeaders.TURN)
+    val program = header(CallHeaders.PROGRAM)
+    val key = header(CallHeaders.IDEMPOTENCY_KEY)
+    return when {
+        turn != null && (turn.toIntOrNull() ?: 0) < 1 -> "expected a ${CallHeaders.TURN} of at least 1, actual '$turn'"
+
+        program != null && !PROGRAM_NAME.matches(program) ->
+            "expected ${CallHeaders.PROGRAM} names of 1 to 128 printable characters, joined by slashes"
+
+        key != null && key.length !in 1..MAX_KEY_CHARS -> "expected an ${CallHeaders.IDEMPOTENCY_KEY} of 1 to $MAX_KEY_CHARS"
+
+        else -> null
+    }
+}
+
+private val PROGRAM_NAME = Regex("[!-.0-~]{1,128}(/[!-.0-~]{1,128}){0,7}")
+private const val MAX_KEY_CHARS = 255
+
 /** Emits the whole answer of [refusal]. */
 internal suspend fun FlowCollector<CallEvent>.emitRefusal(refusal: Refusal) {
     refusal.toEvents().forEach { emit(it) }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ChatMessages.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ChatMessages.kt
@@ -39,6 +39,7 @@
 /** Answer, or one event of a streamed answer. */
 @Serializable
 internal data class ChatReply(
+    val id: String? = null,
     val model: String? = null,
     val choices: List<ChatChoice> = emptyList(),
     val usage: ChatUsage? = null,
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EngineAnswer.kt
@@ -0,0 +1,64 @@
+package io.jasmineford.daemon.call
+
+/**
+ * Parser of one engine answer over all of its connections.
+ *
+ * Events carry ascending ids from 0. An id that was seen is a duplicate and is skipped; a gap breaks the answer, since
+ * text is missing. Each event repeats the request's id; another one means that answers were crossed.
+ */
+internal class EngineAnswer(private val requestId: String) {
+    private var eventId: Int? = null
+
+    /** Id of the last event that was taken; -1 before the first. */
+    var lastEvent: Int = -1
+        private set
+
+    /** True after the last event. */
+    var isDone: Boolean = false
+        private set
+
+    /** True when the answer can't be continued. */
+    var isBroken: Boolean = false
+
+    /** Why the answer ended early. */
+    var problem: String = ""
+
+    /** Takes one line of the event stream and returns what it adds to the answer. */
+    fun take(line: String): List<EngineEvent> {
+        if (line.startsWith(ID)) eventId = line.removePrefix(ID).trim().toIntOrNull()
+        if (line.isEmpty()) eventId = null
+        if (!line.startsWith(DATA)) return emptyList()
+        val data = line.removePrefix(DATA)
+        if (data == LAST) {
+            isDone = true
+            return emptyList()
+        }
+        return takeReply(chatJson.decodeFromString<ChatReply>(data))
+    }
+
+    private fun takeReply(reply: ChatReply): List<EngineEvent> {
+        val id = eventId
+        when {
+            reply.id != null && reply.id != requestId -> return broken("the answer belongs to another request")
+            id != null && id <= lastEvent -> return emptyList()
+            id != null && id != lastEvent + 1 -> return broken("expected event ${lastEvent + 1}, actual $id")
+        }
+        if (id != null) lastEvent = id
+        return listOfNotNull(
+            reply.choices.firstOrNull()?.delta?.let { EngineEvent.Text(it.content) },
+            reply.usage?.let { EngineEvent.Tokens(it) },
+        )
+    }
+
+    private fun broken(why: String): List<EngineEvent> {
+        isBroken = true
+        problem = why
+        return emptyList()
+    }
+
+    private companion object {
+        const val ID = "id: "
+        const val DATA = "data: "
+        const val LAST = "[DONE]"
+    }
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ModelCalls.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ModelCalls.kt
@@ -37,77 +37,85 @@
 ) {
     /** The whole answer to [call]. */
     fun run(call: Call, target: CallTarget, chat: ChatRequest): Flow<CallEvent> = flow {
-        val decision = withContext(control) { begin(call, target, chat) }
-        when (decision) {
-            null -> answer(call, target, chat, ticket = null)
+        if (target.program == null) return@flow answer(Turn(call, target, chat, ticket = null))
+        val request = turnRequest(call, target, chat)
+        when (val decision = withContext(control) { keeper.begin(request) }) {
+            null -> emitRefusal(Refusal(Reason.FENCED, "the program moved to another VM", retryAfter = RETRY_AFTER))
             is TurnDecision.Refuse -> emitRefusal(decision.refusal)
             is TurnDecision.Replay -> emitRefusal(Refusal(Reason.WRONG_TURN, "the call ran before"))
+            is TurnDecision.ReplayTurn -> replay(chat, decision)
             is TurnDecision.Run -> {
-                val whole = chat.copy(messages = decision.messages + chat.messages)
-                answer(call, target, whole, decision.ticket, newMessages = chat.messages)
+                val whole = chat.copy(messages = decision.state.messages + chat.messages)
+                answer(Turn(call, target, whole, decision.ticket, newMessages = chat.messages))
             }
         }
     }
 
-    private fun begin(call: Call, target: CallTarget, chat: ChatRequest): TurnDecision? {
-        val program = target.program ?: return null
-        val promptTokens = chat.messages.sumOf { it.content.length.toLong() } / CHARS_PER_TOKEN
-        val request = TurnRequest(
-            program = program,
-            turn = call.header(CallHeaders.TURN)?.toIntOrNull(),
-            historyDigest = call.header(CallHeaders.HISTORY_DIGEST),
-            reservedTokens = promptTokens + (chat.maxTokens ?: DEFAULT_MAX_TOKENS),
-            budget = configuration.current.account(call.account)?.budget ?: ProgramBudget(),
-        )
-        val decision = keeper.book.begin(request)
-        // The commit of this turn comes later in the same journal, so waiting for it covers these records too.
-        if (decision is TurnDecision.Run && !keeper.journal.journal.isFenced) {
-            decision.records.forEach { keeper.journal.journal.append(it) }
-        }
-        return decision
+    private fun turnRequest(call: Call, target: CallTarget, chat: ChatRequest) = TurnRequest(
+        program = checkNotNull(target.program) { "expected a program, actual none" },
+        turn = call.header(CallHeaders.TURN)?.toIntOrNull(),
+        requestDigest = call.digest(),
+        historyDigest = call.header(CallHeaders.HISTORY_DIGEST),
+        newMessages = chat.messages,
+        reservedTokens = promptTokens(chat) + (chat.maxTokens ?: DEFAULT_MAX_TOKENS),
+        budget = configuration.current.account(call.account)?.budget ?: ProgramBudget(),
+    )
+
+    /** Gives the stored answer again. The turn may still wait for the store. */
+    private suspend fun FlowCollector<CallEvent>.replay(chat: ChatRequest, decision: TurnDecision.ReplayTurn) {
+        val answer = AnswerWriter(this, isStream = chat.stream, turn = decision.last.turn)
+        val usage = decision.last.usage
+        answer.digest = decision.digest
+        answer.usage = ChatUsage(usage.prompt, usage.completion, usage.cached)
+        val refusal = withContext(control) { keeper.journal.awaitAll(storePatience) }.toRefusal()
+        if (refusal != null) return answer.fail(refusal)
+        answer.text(decision.answer.content)
+        answer.end()
     }
 
-    private suspend fun FlowCollector<CallEvent>.answer(
-        call: Call,
-        target: CallTarget,
-        chat: ChatRequest,
-        ticket: TurnTicket?,
-        newMessages: List<Message> = chat.messages,
-    ) {
-        var isSettled = ticket == null
+    private suspend fun FlowCollector<CallEvent>.answer(turn: Turn) {
+        val answer = AnswerWriter(this, isStream = turn.chat.stream, turn = turn.ticket?.turn)
+        var isDispatched = false
         try {
-            queue.withEndpoint(queuedCall(call, target, chat)) { endpoint ->
+            queue.withEndpoint(queuedCall(turn)) { endpoint ->
                 if (endpoint == null) {
                     emitRefusal(Refusal(Reason.DEADLINE_EXCEEDED, "no endpoint was free before the deadline"))
                     return@withEndpoint
                 }
-                val answer = AnswerWriter(this, isStream = chat.stream, turn = ticket?.turn)
-                val failure = stream(call, chat, endpoint, answer)
-                isSettled = isSettled || failure == null
-                finish(answer, failure, ticket, newMessages)
+                isDispatched = true
+                val failure = stream(turn, endpoint, answer)
+                val refusal = failure ?: turn.ticket?.let { commit(turn, it, answer) }
+                if (refusal == null) answer.end() else answer.fail(refusal)
             }
         } finally {
-            if (!isSettled && ticket != null) {
-                withContext(NonCancellable + control) { keeper.book.release(ticket) }
+            turn.ticket?.let { ticket ->
+                val used = if (isDispatched) usedTokens(turn, answer).coerceAtMost(ticket.reservedTokens) else null
+                // Does nothing after a commit, since the ticket is no longer in flight then.
+                withContext(NonCancellable + control) { keeper.note(keeper.book.release(ticket, used)) }
             }
         }
     }
 
-    private fun queuedCall(call: Call, target: CallTarget, chat: ChatRequest) = QueuedCall(
+    private fun queuedCall(turn: Turn) = QueuedCall(
         id = 0,
-        account = call.account,
-        deployment = target.deployment,
-        program = target.program,
-        priority = target.route.priority,
-        promptTokens = chat.messages.sumOf { it.content.length.toLong() } / CHARS_PER_TOKEN,
+        account = turn.call.account,
+        deployment = turn.target.deployment,
+        program = turn.target.program,
+        priority = turn.target.route.priority,
+        promptTokens = promptTokens(turn.chat),
         submittedAt = clock.now(),
-        deadline = call.deadline,
+        deadline = turn.call.deadline,
     )
 
-    private suspend fun stream(call: Call, chat: ChatRequest, endpoint: Endpoint, answer: AnswerWriter): Refusal? {
+    private suspend fun stream(turn: Turn, endpoint: Endpoint, answer: AnswerWriter): Refusal? {
         var failure: Refusal? = null
-        val limit = call.deadline - clock.now()
-        engines.stream(endpoint.address, chat.copy(user = call.header(CallHeaders.PROGRAM)), limit).collect { event ->
+        val request = EngineCall(
+            address = endpoint.address,
+            requestId = turn.call.requestId,
+            chat = turn.chat.copy(user = turn.target.program?.toString()),
+            deadline = turn.call.deadline,
+        )
+        engines.stream(request).collect { event ->
             when (event) {
                 is EngineEvent.Text -> answer.text(event.content)
                 is EngineEvent.Tokens -> answer.usage = event.usage
@@ -118,40 +126,51 @@
         return failure
     }
 
-    private suspend fun finish(
-        answer: AnswerWriter,
-        failure: Refusal?,
-        ticket: TurnTicket?,
-        newMessages: List<Message>,
-    ) {
-        val refusal = failure ?: ticket?.let { commit(it, newMessages, answer) }
-        if (refusal == null) answer.end() else answer.fail(refusal)
-    }
-
-    private suspend fun commit(ticket: TurnTicket, newMessages: List<Message>, answer: AnswerWriter): Refusal? {
-        val messages = newMessages + Message("assistant", answer.content)
+    private suspend fun commit(turn: Turn, ticket: TurnTicket, answer: AnswerWriter): Refusal? {
+        val messages = turn.newMessages + Message("assistant", answer.content)
         val usage = Usage(answer.usage.promptTokens, answer.usage.completionTokens, answer.usage.cachedTokens)
-        val durability = withContext(NonCancellable + control) {
-            if (keeper.journal.journal.isFenced) return@withContext Durability.FENCED
+        return withContext(NonCancellable + control) {
+            if (keeper.journal.journal.isFenced) return@withContext Durability.FENCED.toRefusal()
+            if (!keeper.book.isInFlight(ticket)) return@withContext Durability.FENCED.toRefusal()
             val record = keeper.book.commit(ticket, messages, usage)
+                ?: return@withContext failedRun(Reason.HISTORY_TOO_LARGE, "the answer is too large to keep")
             answer.digest = record.digest
-            keeper.journal.append(listOf(record), storePatience)
+            val closed = if (turn.call.header(CallHeaders.END) == "true") keeper.book.close(ticket.program) else null
+            keeper.append(listOfNotNull(record, closed), storePatience).toRefusal()
         }
-        return when (durability) {
-            Durability.DURABLE -> null
+    }
 
-            Durability.FENCED -> failedRun(Reason.FENCED, "the answer is not part of the history")
+    private fun usedTokens(turn: Turn, answer: AnswerWriter): Long {
+        val reported = answer.usage.promptTokens + answer.usage.completionTokens
+        return if (reported > 0) reported else promptTokens(turn.chat) + answer.content.length / CHARS_PER_TOKEN
+    }
 
-            Durability.UNKNOWN -> Refusal(
-                Reason.STORE_UNAVAILABLE,
-                "the store did not confirm the turn in time",
-                Outcome.OUTCOME_UNKNOWN,
-            )
-        }
+    private fun Durability.toRefusal(): Refusal? = when (this) {
+        Durability.DURABLE -> null
+
+        Durability.FENCED -> failedRun(Reason.FENCED, "the answer is not part of the history")
+
+        Durability.UNKNOWN -> Refusal(
+            Reason.STORE_UNAVAILABLE,
+            "the store did not confirm the turn in time",
+            Outcome.OUTCOME_UNKNOWN,
+        )
     }
 
+    private fun promptTokens(chat: ChatRequest): Long = chat.messages.sumOf { it.content.length.toLong() } / CHARS_PER_TOKEN
+
+    /** One turn on its way: [chat] holds the whole history, [newMessages] what the request adds. */
+    private class Turn(
+        val call: Call,
+        val target: CallTarget,
+        val chat: ChatRequest,
+        val ticket: TurnTicket?,
+        val newMessages: List<Message> = chat.messages,
+    )
+
     private companion object {
         const val CHARS_PER_TOKEN = 4
         const val DEFAULT_MAX_TOKENS = 4_096
+        val RETRY_AFTER = 1.seconds
     }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ServiceCalls.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ServiceCalls.kt
@@ -1,14 +1,15 @@
 package io.jasmineford.daemon.call
 
-import com.google.common.hash.Hashing
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jasmineford.core.call.Outcome
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.config.ConfigurationHolder
+import io.jasmineford.core.config.Endpoint
 import io.jasmineford.core.config.ProgramBudget
 import io.jasmineford.core.config.account
 import io.jasmineford.core.program.Effect
+import io.jasmineford.core.program.EffectReply
 import io.jasmineford.core.program.TurnDecision
 import io.jasmineford.core.program.TurnRequest
 import io.jasmineford.core.program.TurnTicket
@@ -26,7 +27,10 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Runs calls of plain services. A call that may not be repeated is made durable before it is dispatched. */
+/**
+ * Runs calls of plain services. A call that may not be repeated waits for its endpoint first and is then made durable,
+ * so that no time in the queue counts against the dispatch window.
+ */
 internal class ServiceCalls(
     private val control: CoroutineDispatcher,
     private val clock: MonotonicClock,
@@ -40,7 +44,7 @@
     /** The whole answer to [call]. */
     fun run(call: Call, target: CallTarget): Flow<CallEvent> = flow {
         if (target.isIdempotent) {
-            emitReply(dispatch(call, target))
+            emitReply(withEndpoint(call, target) { client.send(it.address, call, target.servicePath, timeLeft(call)) })
         } else {
             runOnce(call, target)
         }
@@ -55,47 +59,77 @@
             turn = call.header(CallHeaders.TURN)?.toIntOrNull(),
             isIdempotent = false,
             idempotencyKey = call.header(CallHeaders.IDEMPOTENCY_KEY),
-            requestDigest = digestOf(call),
+            requestDigest = call.digest(),
+            historyDigest = call.header(CallHeaders.HISTORY_DIGEST),
             budget = configuration.current.account(call.account)?.budget ?: ProgramBudget(),
         )
-        val startedAt = clock.now()
-        when (val decision = withContext(control) { keeper.book.begin(request) }) {
+        when (val decision = withContext(control) { keeper.begin(request) }) {
+            null -> emitRefusal(Refusal(Reason.FENCED, "the program moved to another VM", retryAfter = RETRY_AFTER))
             is TurnDecision.Refuse -> emitRefusal(decision.refusal)
             is TurnDecision.Replay -> emitReply(decision.effect.toReply())
-            is TurnDecision.Run -> emitReply(runDurably(call, target, decision, startedAt))
+            is TurnDecision.ReplayTurn -> error("expected no model turn for a service call, actual ${decision.last.turn}")
+            is TurnDecision.Run -> emitReply(runTicket(call, target, decision.ticket))
         }
     }
 
-    private suspend fun runDurably(
-        call: Call,
-        target: CallTarget,
-        decision: TurnDecision.Run,
-        startedAt: Duration,
-    ): ServiceReply = withContext(NonCancellable) {
-        val durability = withContext(control) { keeper.journal.append(decision.records, dispatchWindow) }
-        val isInTime = clock.now() - startedAt < dispatchWindow
+    private suspend fun runTicket(call: Call, target: CallTarget, ticket: TurnTicket): ServiceReply = try {
+        withEndpoint(call, target) { endpoint ->
+            // From the intent on, the call and its records end together even when the caller goes away.
+            withContext(NonCancellable) { runDurably(call, target, ticket, endpoint) }
+        }
+    } finally {
+        // Does nothing after an outcome was recorded, since the ticket is no longer in flight then.
+        withContext(NonCancellable + control) { keeper.book.release(ticket) }
+    }
+
+    private suspend fun runDurably(call: Call, target: CallTarget, ticket: TurnTicket, endpoint: Endpoint): ServiceReply {
+        val startedAt = clock.now()
+        val refusal = withContext(control) { recordIntent(ticket) }
+        if (refusal != null) return ServiceReply.Refused(refusal)
+        val isAllowed = withContext(control) { keeper.mayDispatch(ticket) && clock.now() - startedAt < dispatchWindow }
+        val window = dispatchWindow - (clock.now() - startedAt)
         val reply = when {
-            durability == Durability.DURABLE && isInTime -> dispatch(call, target)
-            else -> ServiceReply.Refused(Refusal(Reason.STORE_UNAVAILABLE, "the intent was not durable in time"))
+            !isAllowed || window <= Duration.ZERO -> ServiceReply.Refused(notDurable("the intent was not durable in time"))
+            else -> client.send(endpoint.address, call, target.servicePath, timeLeft(call), connectLimit = window)
         }
-        settle(decision.ticket, reply)
+        return settle(call, ticket, reply)
     }
 
-    private suspend fun settle(ticket: TurnTicket, reply: ServiceReply): ServiceReply = withContext(control) {
-        if (keeper.journal.journal.isFenced) return@withContext reply
-        val record = when (reply) {
-            is ServiceReply.Answered ->
-                keeper.book.recordOutcome(ticket, Outcome.RESULT, reply.status, reply.body.decodeToString())
+    /** Makes the intent durable. A refusal means that the call was not and will not be dispatched. */
+    private suspend fun recordIntent(ticket: TurnTicket): Refusal? {
+        val journal = keeper.journal.journal
+        if (journal.isFenced || !keeper.book.isInFlight(ticket)) return notDurable("the program moved to another VM")
+        // The store has not answered for a whole window, so that the intent would miss its own.
+        if (journal.oldestWait() > dispatchWindow) return notDurable("the store does not answer")
+        val intent = keeper.book.intend(ticket) ?: return notDurable("the program moved to another VM")
+        val durability = keeper.append(listOf(intent), dispatchWindow)
+        if (durability == Durability.DURABLE) return null
+        val refusal = notDurable("the intent was not durable in time")
+        // The intent may become durable later. This record follows it and withdraws it; a keeper that sees only the
+        // intent answers "outcome unknown" and never runs the call.
+        keeper.note(keeper.book.recordOutcome(ticket, Outcome.REFUSED_NOT_RUN, refusal.toEffectReply()))
+        return refusal
+    }
 
-            is ServiceReply.Refused ->
-                keeper.book.recordOutcome(ticket, reply.refusal.outcome, reply.refusal.reason.status, reply.refusal.detail)
+    private suspend fun settle(call: Call, ticket: TurnTicket, reply: ServiceReply): ServiceReply = withContext(control) {
+        val (outcome, kept) = when (reply) {
+            is ServiceReply.Answered -> Outcome.RESULT to reply.toEffectReply()
+            is ServiceReply.Refused -> reply.refusal.outcome to reply.refusal.toEffectReply()
         }
-        val durability = keeper.journal.append(listOf(record), storePatience)
-        if (durability == Durability.UNKNOWN) log.warnEvent("outcome_not_durable", "program" to ticket.program)
-        reply
+        if (keeper.journal.journal.isFenced) return@withContext reply.notDurable()
+        val record = keeper.book.recordOutcome(ticket, outcome, kept) ?: return@withContext reply.notDurable()
+        val closed = if (call.header(CallHeaders.END) == "true") keeper.book.close(ticket.program) else null
+        val durability = keeper.append(listOfNotNull(record, closed), storePatience)
+        if (durability == Durability.DURABLE) return@withContext reply
+        log.warnEvent("outcome_not_durable", "program" to ticket.program, "durability" to durability)
+        reply.notDurable()
     }
 
-    private suspend fun dispatch(call: Call, target: CallTarget): ServiceReply {
+    private suspend fun withEndpoint(
+        call: Call,
+        target: CallTarget,
+        send: suspend (Endpoint) -> ServiceReply,
+    ): ServiceReply {
         val queued = QueuedCall(
             id = 0,
             account = call.account,
@@ -106,11 +140,8 @@
             deadline = call.deadline,
         )
         return queue.withEndpoint(queued) { endpoint ->
-            if (endpoint == null) {
-                ServiceReply.Refused(Refusal(Reason.DEADLINE_EXCEEDED, "no endpoint was free before the deadline"))
-            } else {
-                client.send(endpoint.address, call, target.servicePath, call.deadline - clock.now())
-            }
+            if (endpoint != null) return@withEndpoint send(endpoint)
+            ServiceReply.Refused(Refusal(Reason.DEADLINE_EXCEEDED, "no endpoint was free before the deadline"))
         }
     }
 
@@ -118,9 +149,10 @@
         is ServiceReply.Refused -> emitRefusal(reply.refusal)
 
         is ServiceReply.Answered -> {
-            val headers = listOf(
+            val headers = listOfNotNull(
                 HeaderField("Content-Type", reply.contentType),
                 HeaderField(CallHeaders.OUTCOME, Outcome.RESULT.label),
+                HeaderField(CallHeaders.DURABLE, "false").takeIf { !reply.isDurable },
             )
             emit(CallEvent.Head(reply.status, headers))
             emit(CallEvent.Data(reply.body))
@@ -128,18 +160,39 @@
         }
     }
 
+    private fun timeLeft(call: Call): Duration = call.deadline - clock.now()
+
+    private fun notDurable(detail: String) = Refusal(Reason.STORE_UNAVAILABLE, detail, retryAfter = RETRY_AFTER)
+
     private companion object {
         val log = KotlinLogging.logger {}
+        val RETRY_AFTER = 1.seconds
     }
 }
 
-private fun digestOf(call: Call): String = Hashing.sha256().newHasher()
-        .putUnencodedChars(call.method).putUnencodedChars(" ").putUnencodedChars(call.path).putUnencodedChars("\n")
-        .putBytes(call.body)
-        .hash().toString()
+private fun ServiceReply.notDurable(): ServiceReply = if (this is ServiceReply.Answered) copy(isDurable = false) else this
+
+private fun ServiceReply.Answered.toEffectReply(): EffectReply {
+    val text = body.decodeToString()
+    // A body that is not text can't be kept in a journal of JSON text.
+    val isText = text.encodeToByteArray().contentEquals(body)
+    return EffectReply(status, contentType, if (isText) text else "", isBodyKept = isText)
+}
+
+private fun Refusal.toEffectReply() = EffectReply(reason.status, body = detail, reason = reason)
 
 private fun Effect.toReply(): ServiceReply {
-    if (outcome == Outcome.RESULT) return ServiceReply.Answered(status, "application/json", body.toByteArray())
-    val reason = Reason.entries.firstOrNull { it.status == status } ?: Reason.ENDPOINT_FAILED
-    return ServiceReply.Refused(Refusal(reason, body, outcome ?: Outcome.OUTCOME_UNKNOWN))
+    val kept = reply
+    val known = outcome ?: Outcome.OUTCOME_UNKNOWN
+    return when {
+        kept == null -> ServiceReply.Refused(Refusal(Reason.INTENT_UNRESOLVED, "the outcome is not known", known))
+
+        known != Outcome.RESULT -> ServiceReply.Refused(Refusal(kept.reason ?: Reason.ENDPOINT_FAILED, kept.body, known))
+
+        !kept.isBodyKept -> ServiceReply.Refused(
+            Refusal(Reason.ANSWER_NOT_KEPT, "the call ran and was answered with status ${kept.status}", Outcome.RESULT),
+        )
+
+        else -> ServiceReply.Answered(kept.status, kept.contentType, kept.body.encodeToByteArray())
+    }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ServiceClient.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ServiceClient.kt
@@ -4,6 +4,8 @@
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.call.Refusal
 import io.ktor.client.HttpClient
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.client.plugins.HttpRequestTimeoutException
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.header
 import io.ktor.client.request.request
@@ -11,12 +13,18 @@
 import io.ktor.client.statement.bodyAsBytes
 import io.ktor.http.HttpMethod
 import kotlinx.io.IOException
+import java.net.ConnectException
 import kotlin.time.Duration
 
 /** Answer of a service, or why there is none. */
 internal sealed interface ServiceReply {
-    /** The service answered, whatever its status. */
-    class Answered(val status: Int, val contentType: String, val body: ByteArray) : ServiceReply
+    /** The service answered, whatever its status. With [isDurable] false, the answer may not be given again. */
+    data class Answered(
+        val status: Int,
+        val contentType: String,
+        val body: ByteArray,
+        val isDurable: Boolean = true,
+    ) : ServiceReply
 
     /** No answer. */
     data class Refused(val refusal: Refusal) : ServiceReply
@@ -24,21 +32,41 @@
 
 /** Client of plain services. Only the headers in [FORWARDED_HEADERS] go on; the caller's key never does. */
 internal class ServiceClient(private val client: HttpClient) {
-    /** Sends [call] to the service. Without an answer, the outcome is unknown: the request may have arrived. */
-    suspend fun send(address: String, call: Call, path: String, limit: Duration): ServiceReply = try {
+    /**
+     * Sends [call] to the service. Without an answer, the outcome is unknown, since the request may have arrived, unless
+     * the connection was never made. A connection that takes longer than [connectLimit] is given up.
+     */
+    suspend fun send(
+        address: String,
+        call: Call,
+        path: String,
+        limit: Duration,
+        connectLimit: Duration = limit,
+    ): ServiceReply = try {
         val reply = client.request("http://$address$path") {
             method = HttpMethod.parse(call.method)
-            timeout { requestTimeoutMillis = limit.inWholeMilliseconds.coerceAtLeast(1) }
+            timeout {
+                requestTimeoutMillis = limit.inWholeMilliseconds.coerceAtLeast(1)
+                connectTimeoutMillis = connectLimit.inWholeMilliseconds.coerceAtLeast(1)
+            }
             call.headers.filter { it.name.lowercase() in FORWARDED_HEADERS }.forEach { header(it.name, it.value) }
             if (call.body.isNotEmpty()) setBody(call.body)
         }
         val contentType = reply.headers["Content-Type"] ?: "application/octet-stream"
         ServiceReply.Answered(reply.status.value, contentType, reply.bodyAsBytes())
+    } catch (e: ConnectException) {
+        refused(e, Reason.ENDPOINT_FAILED, Outcome.REFUSED_NOT_RUN)
+    } catch (e: ConnectTimeoutException) {
+        refused(e, Reason.ENDPOINT_FAILED, Outcome.REFUSED_NOT_RUN)
+    } catch (e: HttpRequestTimeoutException) {
+        refused(e, Reason.ENDPOINT_TIMEOUT, Outcome.OUTCOME_UNKNOWN)
     } catch (e: IOException) {
-        val detail = e.message ?: e.toString()
-        ServiceReply.Refused(Refusal(Reason.ENDPOINT_FAILED, detail, Outcome.OUTCOME_UNKNOWN))
+        refused(e, Reason.ENDPOINT_FAILED, Outcome.OUTCOME_UNKNOWN)
     }
 
+    private fun refused(e: IOException, reason: Reason, outcome: Outcome) =
+        ServiceReply.Refused(Refusal(reason, e.message ?: e.toString(), outcome))
+
     private companion object {
         val FORWARDED_HEADERS = setOf("content-type", "accept", "accept-language", "idempotency-key")
     }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/JournalDriver.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/JournalDriver.kt
@@ -10,6 +10,7 @@
 import io.jasmineford.store.ObjectStore
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -34,8 +35,10 @@
     private val scope: CoroutineScope,
     private val store: ObjectStore,
     val journal: Journal,
+    private val onProgress: () -> Unit = {},
 ) {
     private val waiters = TreeMap<Long, CompletableDeferred<Durability>>()
+    private val wake = Channel<Unit>(Channel.CONFLATED)
 
     /** Segments written so far. */
     var writes: Long = 0
@@ -44,18 +47,33 @@
     /** Writes due segments until the journal is fenced or the scope is cancelled. */
     fun start() = scope.launch {
         while (!journal.isFenced) {
-            val write = journal.poll()
-            if (write == null) delay(POLL_INTERVAL) else send(write)
+            val due = journal.dueIn()
+            when {
+                due == null -> wake.receive()
+                due > Duration.ZERO -> delay(due)
+                else -> journal.poll()?.let { send(it) }
+            }
         }
     }
 
+    /** Lets the writer see records that were appended without [append]. */
+    fun recordsAppended() {
+        wake.trySend(Unit)
+    }
+
     /** Appends [records] and waits until all are durable, the journal is fenced or [timeout] passes. */
     suspend fun append(records: List<JournalRecord>, timeout: Duration): Durability {
-        if (records.isEmpty()) return Durability.DURABLE
         if (journal.isFenced) return Durability.FENCED
-        val position = records.map { journal.append(it) }.last()
-        val waiter = CompletableDeferred<Durability>()
-        waiters[position] = waiter
+        records.forEach { journal.append(it) }
+        return awaitAll(timeout)
+    }
+
+    /** Waits until every record appended so far is durable, the journal is fenced or [timeout] passes. */
+    suspend fun awaitAll(timeout: Duration): Durability {
+        if (journal.isFenced) return Durability.FENCED
+        if (journal.isIdle) return Durability.DURABLE
+        recordsAppended()
+        val waiter = waiters.getOrPut(journal.appended) { CompletableDeferred() }
         return withTimeoutOrNull(timeout) { waiter.await() } ?: Durability.UNKNOWN
     }
 
@@ -76,6 +94,7 @@
 
             JournalProgress.Retry -> error("expected the end of the retries, actual another retry")
         }
+        onProgress()
     }
 
     private fun finish(done: MutableMap<Long, CompletableDeferred<Durability>>, durability: Durability) {
@@ -85,7 +104,6 @@
 
     private companion object {
         val log = KotlinLogging.logger {}
-        val POLL_INTERVAL = 1.milliseconds
         val RETRY_INTERVAL = 100.milliseconds
     }
 }
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/MembershipRights.kt
@@ -0,0 +1,27 @@
+package io.jasmineford.daemon.control
+
+import io.jasmineford.core.lease.Membership
+import io.jasmineford.core.lease.ShardOwner
+import io.jasmineford.core.program.ShardRights
+
+/** Rights of one [incarnation] of this VM; none once the membership has moved on to another. */
+internal class MembershipRights(
+    private val membership: Membership,
+    private val vm: String,
+    private val incarnation: Long,
+) : ShardRights {
+    override val mapEpoch: Long get() = membership.map.epoch
+
+    override val mapRevision: Long get() = membership.mapRevision
+
+    override val owners: List<ShardOwner> get() = membership.map.shards
+
+    override fun isOwn(shard: Int): Boolean {
+        val owner = owners.getOrNull(shard) ?: return false
+        return owner.vm == vm && owner.incarnation == incarnation
+    }
+
+    override fun mayAct(shard: Int): Boolean = isOwn(shard) && membership.mayAct(shard)
+
+    override fun toHandOver(): Set<Int> = membership.shardsToHandOver().keys
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ShardKeeper.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ShardKeeper.kt
@@ -1,34 +1,37 @@
 package io.jasmineford.daemon.control
 
-import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.getError
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.jasmineford.core.lease.Lease
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.journalId
 import io.jasmineford.core.lease.shardOf
 import io.jasmineford.core.program.Journal
 import io.jasmineford.core.program.JournalRecord
 import io.jasmineford.core.program.JournalSettings
+import io.jasmineford.core.program.KeeperAction
 import io.jasmineford.core.program.ProgramBook
 import io.jasmineford.core.program.ProgramId
-import io.jasmineford.core.program.ProgramState
-import io.jasmineford.core.program.apply
+import io.jasmineford.core.program.ReplayStep
+import io.jasmineford.core.program.ShardKeeping
+import io.jasmineford.core.program.TurnDecision
+import io.jasmineford.core.program.TurnRequest
+import io.jasmineford.core.program.TurnTicket
 import io.jasmineford.core.program.shardName
 import io.jasmineford.core.time.MonotonicClock
-import io.jasmineford.daemon.event
 import io.jasmineford.daemon.warnEvent
+import io.jasmineford.store.ABSENT_VERSION
 import io.jasmineford.store.ObjectStore
-import io.jasmineford.store.describe
+import io.jasmineford.store.StoreError
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
- * Keeps the programs of this VM's shards: takes shards over by replay, hands them over after a drain, and drops all when
- * the VM lost its rights. All functions run on the control thread.
+ * Drives [ShardKeeping] and the journal of this VM's current incarnation. All functions run on the control thread.
  */
 class ShardKeeper(
     private val vm: String,
@@ -41,10 +44,9 @@
     private val shards: Int,
     private val nonces: () -> String,
 ) {
-    private val replay = ShardReplay(store, nonces)
-    private val inFlight = HashMap<Int, Int>()
-    private val draining = HashSet<Int>()
+    private val wake = Channel<Unit>(Channel.CONFLATED)
     private var incarnation = membership.incarnation
+    private var isReplaying = false
 
     /** Programs of this VM's shards. */
     val book = ProgramBook(clock)
@@ -53,14 +55,16 @@
     var journal: JournalDriver = openJournal()
         private set
 
+    private var keeping = openKeeping()
+
     /** Takes shards over and hands them over until the scope is cancelled. */
     fun start() = scope.launch {
         while (true) {
+            if (journal.journal.isFenced && membership.incarnation == incarnation) membership.abandon()
             if (membership.incarnation != incarnation) startAnew()
-            dropLostShards()
-            takeOver()
-            handOver()
-            delay(POLL_INTERVAL)
+            keeping.poll().forEach(::perform)
+            journal.recordsAppended()
+            withTimeoutOrNull(POLL_INTERVAL) { wake.receive() }
         }
     }
 
@@ -68,96 +72,94 @@
     fun shardOf(program: ProgramId): Int = shardOf(program.shardName, shards)
 
     /** Whether this VM keeps [shard] and may begin calls for it. */
-    fun isServing(shard: Int): Boolean =
-        membership.isServable(shard) && shard !in draining && !journal.journal.isFenced
+    fun isServing(shard: Int): Boolean = membership.incarnation == incarnation && keeping.isServing(shard)
 
-    /** Counts a call of [shard] as in flight, so that a drain waits for it. */
-    fun callBegan(shard: Int) {
-        inFlight.merge(shard, 1, Int::plus)
-    }
+    /** Whether the right to act for the program of [ticket] has lasted since the ticket was given. */
+    fun mayDispatch(ticket: TurnTicket): Boolean =
+        !journal.journal.isFenced && membership.mayAct(shardOf(ticket.program)) && book.isInFlight(ticket)
 
-    /** Ends what [callBegan] began. */
-    fun callEnded(shard: Int) {
-        inFlight.merge(shard, -1, Int::plus)
+    /** Checks [request] and begins its turn; null when this VM does not serve the program's shard. */
+    fun begin(request: TurnRequest): TurnDecision? = if (isServing(shardOf(request.program))) keeping.begin(request) else null
+
+    /** Appends a record that needs no wait, unless the journal is fenced. */
+    fun note(record: JournalRecord?) {
+        if (record == null || journal.journal.isFenced) return
+        journal.journal.append(record)
+        journal.recordsAppended()
     }
 
+    /** Appends [records] and waits; the records must come from this incarnation's [book] in the same step. */
+    suspend fun append(records: List<JournalRecord>, timeout: Duration): Durability = journal.append(records, timeout)
+
+    /** Counts a call of [shard] as in flight, so that a drain waits for it. */
+    fun callBegan(shard: Int): CallCount = CallCount(keeping, shard).also { keeping.callBegan(shard) }
+
     /** True when no shard is left to hand over. */
     fun isEmpty(): Boolean = membership.ownShards().isEmpty()
 
     private fun openJournal(): JournalDriver {
         val machine = Journal(journalId(vm, incarnation), journalSettings, clock, nonces)
-        return JournalDriver(scope, store, machine).also { it.start() }
+        return JournalDriver(scope, store, machine) { wake.trySend(Unit) }.also { it.start() }
     }
 
+    private fun openKeeping() = ShardKeeping(
+        rights = MembershipRights(membership, vm, incarnation),
+        journal = journal.journal,
+        book = book,
+        shardOf = ::shardOf,
+        nonces = nonces,
+    )
+
     private fun startAnew() {
         log.warnEvent("incarnation_replaced", "before" to incarnation, "after" to membership.incarnation)
         incarnation = membership.incarnation
         book.dropIf { true }
-        draining.clear()
         journal = openJournal()
+        keeping = openKeeping()
     }
 
-    private fun dropLostShards() {
-        val own = membership.ownShards().toSet()
-        draining.retainAll(own)
-        book.dropIf { shardOf(it) !in own }
-    }
-
-    private suspend fun takeOver() {
-        val due = membership.ownShards().filter { membership.mayAct(it) && !membership.isServable(it) }
-        if (due.isEmpty()) return
-        val startedAt = clock.now()
-        val own = journalId(vm, incarnation)
-        val owners = due.associateWith { membership.map.shards[it] }
-        // A shard that was never owned before has no journal but this VM's own.
-        val journals = owners.values.flatMap { it.journals }.distinct().filter { it != own }
-        val sealed = owners.values.filter { !it.isReleased }.flatMap { it.journals }.toSet()
-        val programs = HashMap<ProgramId, ProgramState>()
-        for (id in journals) {
-            val records = replay.read(id, seal = id in sealed).fold(
-                success = { it },
-                failure = {
-                    log.warnEvent("replay_failed", "journal" to id, "problem" to it.describe())
-                    return
-                },
-            )
-            records.filter { shardOf(it.program) in owners }.forEach { record ->
-                programs[record.program] = (programs[record.program] ?: ProgramState()).apply(record)
+    private fun perform(action: KeeperAction) {
+        when (action) {
+            is KeeperAction.Replay -> replay(action.step)
+            is KeeperAction.ReduceJournals -> membership.journalsReplayed(action.shards)?.let { driver.perform(it) }
+            is KeeperAction.Release -> {
+                val moved = membership.shardsToHandOver().filterKeys { it in action.shards }
+                membership.release(moved)?.let { driver.perform(it) }
             }
-        }
-        finishTakeOver(due.toSet(), programs, startedAt)
-    }
 
-    private suspend fun finishTakeOver(due: Set<Int>, programs: Map<ProgramId, ProgramState>, startedAt: Duration) {
-        val checkpoints = programs.map { (program, state) -> JournalRecord.Checkpoint(program, state) }
-        if (journal.append(checkpoints, STORE_PATIENCE) != Durability.DURABLE) return
-        val still = due.filter { membership.mayAct(it) }.toSet()
-        programs.filterKeys { shardOf(it) in still }.forEach { (program, state) -> book.adopt(program, state) }
-        membership.journalsReplayed(still)?.let { driver.perform(it) }
-        while (still.any { membership.mayAct(it) && !membership.isServable(it) } && clock.now() - startedAt < STORE_PATIENCE) {
-            delay(POLL_INTERVAL)
+            is KeeperAction.Delete -> scope.launch { action.objects.forEach { store.delete(it.key, it.version) } }
         }
-        log.event(
-            "shards_taken_over",
-            "shards" to still.size,
-            "programs" to programs.size,
-            "ms" to (clock.now() - startedAt).inWholeMilliseconds,
-        )
     }
 
-    private suspend fun handOver() {
-        val moving: Map<Int, Lease> = membership.shardsToHandOver().filterKeys { membership.isServable(it) }
-        if (moving.isEmpty()) return
-        draining += moving.keys
-        val drained = moving.filterKeys { (inFlight[it] ?: 0) == 0 }
-        if (drained.isEmpty()) return
-        membership.release(drained)?.let { driver.perform(it) }
-        delay(POLL_INTERVAL)
+    private fun replay(step: ReplayStep) {
+        if (isReplaying) return
+        isReplaying = true
+        val target = keeping
+        scope.launch {
+            val error = when (step) {
+                is ReplayStep.ListPage -> store.list(step.prefix, step.limit, step.token)
+                    .also { target.onPage(step, it) }.getError()
+
+                is ReplayStep.ReadNext -> store.get(step.key).also { target.onRead(step, it) }.getError()
+
+                is ReplayStep.Seal -> store.put(step.write.key, step.write.value, ABSENT_VERSION, step.write.nonce)
+                    .also { target.onSealed(step, it) }.getError()
+            }
+            // A seal that conflicts is progress too; only a store that does not answer needs a pause.
+            if (error is StoreError.Unavailable) delay(POLL_INTERVAL)
+            isReplaying = false
+            wake.trySend(Unit)
+        }
     }
 
     private companion object {
         val log = KotlinLogging.logger {}
         val POLL_INTERVAL = 20.milliseconds
-        val STORE_PATIENCE = 5.seconds
     }
 }
+
+/** A call that a drain of its shard waits for. It counts at the incarnation that it began under. */
+class CallCount internal constructor(private val keeping: ShardKeeping, private val shard: Int) {
+    /** Ends the count. */
+    fun end() = keeping.callEnded(shard)
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerClients.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerClients.kt
@@ -3,20 +3,13 @@
 import io.grpc.ManagedChannel
 import io.grpc.StatusException
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
-import io.jasmineford.core.call.Outcome
-import io.jasmineford.core.call.Reason
-import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.call.Call
-import io.jasmineford.daemon.call.toEvents
+import io.jasmineford.daemon.call.KeeperLostException
 import io.jasmineford.protocol.PeerGrpcKt
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.catch
-import kotlinx.coroutines.flow.emitAll
-import kotlinx.coroutines.flow.flow
-import kotlinx.coroutines.flow.asFlow
 import kotlinx.coroutines.flow.map
-import kotlinx.coroutines.flow.onEach
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -30,19 +23,12 @@
 ) : AutoCloseable {
     private val channels = ConcurrentHashMap<String, ManagedChannel>()
 
-    /** Sends [call] to the daemon at [address] and returns its answer. */
+    /** Sends [call] to the daemon at [address] and returns its answer; fails with [KeeperLostException]. */
     fun forward(address: String, call: Call): Flow<Event> {
-        var isHeadSeen = false
         val stub = stub(address).withDeadlineAfter(timeLeft(call).inWholeMilliseconds, TimeUnit.MILLISECONDS)
         return stub.forwardCall(call.toMessage(vm, generation(), clock.now()))
             .map { it.toEvent() }
-            .onEach { if (it is Event.Head) isHeadSeen = true }
-            .catch { e ->
-                if (e !is StatusException) throw e
-                val refusal = Refusal(Reason.KEEPER_LOST, "${e.status.code}", Outcome.OUTCOME_UNKNOWN)
-                val events = refusal.toEvents()
-                emitAll(if (isHeadSeen) flow { emit(events.last()) } else events.asFlow())
-            }
+            .catch { e -> throw if (e is StatusException) KeeperLostException("${e.status.code}") else e }
     }
 
     /** Stub for the daemon at [address]. */
--- a/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/engine/EngineMessages.kt
+++ b/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/engine/EngineMessages.kt
@@ -44,6 +44,7 @@
 /** Reply or streamed event of the chat completions API. */
 @Serializable
 data class EngineReply(
+    val id: String? = null,
     val model: String? = null,
     val choices: List<EngineChoice> = emptyList(),
     val usage: EngineUsage? = null,
--- a/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/engine/EngineServer.kt
+++ b/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/engine/EngineServer.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.io.IOException
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlin.time.Duration
@@ -25,6 +26,10 @@
  *
  * @param port 0 lets the system choose.
  * @param tokenInterval time between two streamed tokens.
+ * A request with a `Last-Event-ID` header resumes the answer to the same `X-Request-Id` behind that event; an answer that
+ * is no longer held is 404.
+ *
+ * @param breakBefore decides for each event of a stream whether the connection breaks instead.
  * @param onRequest sees the raw headers of each request, so that a test can check what reached the engine.
  */
 class EngineServer(
@@ -32,7 +37,9 @@
     port: Int = 0,
     private val tokenInterval: Duration = 1.milliseconds,
     private val onRequest: (headers: Map<String, List<String>>, body: String) -> Unit = { _, _ -> },
+    private val breakBefore: (event: Int) -> Boolean = { false },
 ) : AutoCloseable {
+    private val answers = AnswerLog()
     private val mutex = Mutex()
     private val cache = PrefixCache()
     private var running = 0
@@ -64,37 +71,52 @@
         }
         mutex.withLock { running++ }
         try {
-            answer(body)
+            val requestId = request.headers["X-Request-Id"]
+            val lastEvent = request.headers["Last-Event-ID"]?.toIntOrNull()
+            if (lastEvent == null) answer(body, requestId) else resume(requestId, lastEvent)
         } finally {
             mutex.withLock { running-- }
         }
     }
 
-    private suspend fun ApplicationCall.answer(body: EngineRequest) {
+    private suspend fun ApplicationCall.resume(requestId: String?, lastEvent: Int) {
+        val held = mutex.withLock { answers.held(requestId) }
+        if (held == null) {
+            respondText("the answer is not held", status = HttpStatusCode.NotFound)
+        } else {
+            stream(held, from = lastEvent + 1)
+        }
+    }
+
+    private suspend fun ApplicationCall.answer(body: EngineRequest, requestId: String?) {
         val words = answerWords(body)
         val prompt = body.messages.sumOf { it.content.split(' ').size }
         val cached = mutex.withLock { cache.matchAndStore(body.user.orEmpty(), body.messages, words) }
         val usage = EngineUsage(prompt_tokens = prompt, completion_tokens = words.size, cached_tokens = cached)
         if (body.stream) {
-            stream(words, usage)
+            val held = HeldAnswer(requestId, words, usage)
+            mutex.withLock { answers.hold(held) }
+            stream(held, from = 0)
         } else {
             delay(tokenInterval * words.size)
             val message = EngineMessage("assistant", words.joinToString(" "))
-            val reply = EngineReply(model = body.model, choices = listOf(EngineChoice(message = message)), usage = usage)
+            val reply = EngineReply(requestId, body.model, choices = listOf(EngineChoice(message = message)), usage = usage)
             respondText(json.encodeToString(reply), ContentType.Application.Json)
         }
     }
 
-    private suspend fun ApplicationCall.stream(words: List<String>, usage: EngineUsage) {
+    private suspend fun ApplicationCall.stream(answer: HeldAnswer, from: Int) {
         respondTextWriter(ContentType.Text.EventStream) {
-            for ((index, word) in words.withIndex()) {
+            for (index in from until answer.words.size) {
                 delay(tokenInterval)
+                if (breakBefore(index)) throw IOException("the stream breaks before event $index")
+                val word = answer.words[index]
                 val delta = EngineDelta(content = if (index == 0) word else " $word")
-                val chunk = EngineReply(choices = listOf(EngineChoice(delta = delta)))
+                val chunk = EngineReply(answer.requestId, choices = listOf(EngineChoice(delta = delta)))
                 write("id: $index\ndata: ${json.encodeToString(chunk)}\n\n")
                 flush()
             }
-            write("data: ${json.encodeToString(EngineReply(usage = usage))}\n\n")
+            write("data: ${json.encodeToString(EngineReply(answer.requestId, usage = answer.usage))}\n\n")
             write("data: [DONE]\n\n")
             flush()
         }
