Test programs over seeded schedules of faults

Change: an intent takes its turn number, and a refusal as not run gives it back. A repeated key whose first attempt still waits for its endpoint is "outcome unknown".

--- /dev/null
+++ b/jasmineford-bench/src/test/kotlin/io/jasmineford/bench/program/ProgramScheduleTest.kt
@@ -0,0 +1,27 @@
+package io.jasmineford.bench.program
+
+import java.util.stream.LongStream
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/**
+ * Guards against lost, mixed or reordered histories, calls that run twice, overdrawn budgets, untrue refusals and programs
+ * that never go on after the faults. `-Dschedules=N` runs N schedules, `-Dseed=S` starts at seed S.
+ */
+class ProgramScheduleTest {
+    @Test
+    fun `programs keep order, history, budget and at most once through any schedule of faults`() {
+        val count = System.getProperty("schedules")?.toLong() ?: SCHEDULES
+        val first = System.getProperty("seed")?.toLong() ?: 1
+        val broken = LongStream.range(first, first + count).parallel()
+            .mapToObj { seed -> ProgramSchedule(seed).run().faults }
+            .filter { it.isNotEmpty() }
+            .findFirst()
+            .orElse(null)
+        assertEquals(null, broken, "expected no broken property, actual (run again with -Dschedules=1 -Dseed=S): $broken")
+    }
+
+    private companion object {
+        const val SCHEDULES = 1_000L
+    }
+}
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
@@ -56,8 +56,11 @@
     /** Checks [request] and reserves its budget. */
     fun begin(request: TurnRequest): TurnDecision {
         val entry = programs[request.program]
-        val effect = request.idempotencyKey?.takeIf { !request.isIdempotent }?.let { entry?.state?.effects?.get(it) }
-        if (effect != null) return repeatedEffect(request, effect)
+        val key = request.idempotencyKey?.takeIf { !request.isIdempotent }
+        val effect = key?.let { entry?.state?.effects?.get(it) }
+        if (key != null && (effect != null || entry?.inFlight?.idempotencyKey == key)) {
+            return repeatedEffect(request, effect, entry?.inFlight)
+        }
         entry?.let { repeatedTurn(request, it) }?.let { return it }
         val refusal = stateRefusal(request, entry, programs::containsKey) ?: sizeRefusal(request, entry) ?: budgetRefusal(request)
         return if (refusal != null) TurnDecision.Refuse(refusal) else run(request, entry)
@@ -165,25 +168,29 @@
         return Entry(state, usedAt = clock.now()).also { programs[program] = it }
     }
 
-    private fun repeatedEffect(request: TurnRequest, known: Effect): TurnDecision = when {
-        known.requestDigest != request.requestDigest -> refuse(
-            Reason.IDEMPOTENCY_KEY_REUSED,
-            "expected the request that first used the key, actual another one",
-        )
+    private fun repeatedEffect(request: TurnRequest, known: Effect?, inFlight: TurnTicket?): TurnDecision {
+        val isInFlight = inFlight?.idempotencyKey == request.idempotencyKey
+        val firstDigest = known?.requestDigest ?: inFlight?.requestDigest
+        return when {
+            firstDigest != request.requestDigest -> refuse(
+                Reason.IDEMPOTENCY_KEY_REUSED,
+                "expected the request that first used the key, actual another one",
+            )
 
-        programs[request.program]?.inFlight?.idempotencyKey == request.idempotencyKey -> refuse(
-            Reason.PROGRAM_BUSY,
-            "the call with this idempotency key is in flight",
-            Outcome.OUTCOME_UNKNOWN,
-        )
+            isInFlight -> refuse(
+                Reason.PROGRAM_BUSY,
+                "the call with this idempotency key is in flight",
+                Outcome.OUTCOME_UNKNOWN,
+            )
 
-        known.outcome == null -> refuse(
-            Reason.INTENT_UNRESOLVED,
-            "an earlier attempt was dispatched or about to be, and its outcome is not known",
-            Outcome.OUTCOME_UNKNOWN,
-        )
+            known?.outcome == null -> refuse(
+                Reason.INTENT_UNRESOLVED,
+                "an earlier attempt was dispatched or about to be, and its outcome is not known",
+                Outcome.OUTCOME_UNKNOWN,
+            )
 
-        else -> TurnDecision.Replay(known)
+            else -> TurnDecision.Replay(known)
+        }
     }
 
     private fun repeatedTurn(request: TurnRequest, entry: Entry): TurnDecision? {
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramState.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramState.kt
@@ -90,12 +90,20 @@
     last = LastTurn(record.turn, record.requestDigest, record.usage),
 )
 
+/**
+ * An intent takes its turn number. When a keeper is lost after the caller got the answer and before the outcome was
+ * durable, the next turn is still the one that the caller expects.
+ */
 private fun ProgramState.afterIntent(record: ProgramRecord.IntentRecorded) = copy(
+    nextTurn = maxOf(nextTurn, record.turn + 1),
     effects = effects + (record.idempotencyKey to Effect(record.turn, record.requestDigest)),
 )
 
 private fun ProgramState.afterOutcome(record: ProgramRecord.OutcomeRecorded): ProgramState {
-    if (record.outcome == Outcome.REFUSED_NOT_RUN) return copy(effects = effects - record.idempotencyKey)
+    if (record.outcome == Outcome.REFUSED_NOT_RUN) {
+        val isLatest = record.idempotencyKey in effects && nextTurn == record.turn + 1
+        return copy(nextTurn = if (isLatest) record.turn else nextTurn, effects = effects - record.idempotencyKey)
+    }
     val effect = effects[record.idempotencyKey] ?: Effect(record.turn, requestDigest = "")
     val ended = effect.copy(outcome = record.outcome, reply = record.reply)
     return copy(
