Add operator commands, settings check and shell completion

Cause: operators could change the configuration only by raw HTTP, and a setting with a unit in its value was refused without its accepted range.

--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
@@ -1,8 +1,18 @@
 package io.jasmineford.cli
 
+import com.github.ajalt.clikt.completion.CompletionCommand
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.subcommands
+import io.jasmineford.cli.operator.Direction
+import io.jasmineford.cli.operator.ReleaseCheckCommand
+import io.jasmineford.cli.operator.ReleaseCommand
+import io.jasmineford.cli.operator.ReleasePublishCommand
+import io.jasmineford.cli.operator.StatusCommand
+import io.jasmineford.cli.operator.VmCommand
+import io.jasmineford.cli.operator.VmDirectionCommand
+import io.jasmineford.cli.operator.ZoneCommand
+import io.jasmineford.cli.operator.ZoneDirectionCommand
 import io.jasmineford.cli.quickstart.QuickstartCommand
 
 /** The whole command line. */
@@ -10,6 +20,12 @@
     QuickstartCommand(),
     EntryCommand(),
     StandInCommand().subcommands(PlatformCommand(), EngineCommand(), ServiceCommand()),
+    ReleaseCommand().subcommands(ReleaseCheckCommand(), ReleasePublishCommand()),
+    ZoneCommand().subcommands(Direction.entries.map { ZoneDirectionCommand(it) }),
+    VmCommand().subcommands(Direction.entries.map { VmDirectionCommand(it) }),
+    StatusCommand(),
+    SettingsCommand().subcommands(SettingsCheckCommand()),
+    CompletionCommand(name = "completion", help = "Print a completion script for bash, zsh or fish."),
 )
 
 private class RootCommand : CliktCommand(name = "jasmineford") {
--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/operator/OperatorClient.kt
@@ -0,0 +1,69 @@
+package io.jasmineford.cli.operator
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import io.jasmineford.core.config.Configuration
+import io.jasmineford.daemon.operator.DaemonStatus
+import io.jasmineford.daemon.operator.PublishReply
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.get
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.encodeURLPathPart
+import kotlinx.io.IOException
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Whether operators put something into or out of service. */
+internal enum class Direction(val label: String) { IN("in"), OUT("out") }
+
+/** Client of daemons' operator ports. Errors are one line with the address. */
+internal class OperatorClient(timeout: Duration = 10.seconds) : AutoCloseable {
+    private val client = HttpClient(CIO) {
+        install(HttpTimeout) {
+            requestTimeoutMillis = timeout.inWholeMilliseconds
+            connectTimeoutMillis = timeout.inWholeMilliseconds
+        }
+    }
+
+    /** State of the daemon at [address] (host and port). */
+    suspend fun status(address: String): Result<DaemonStatus, String> = get(address, "/status")
+
+    /** Configuration in force at [address]. */
+    suspend fun configuration(address: String): Result<Configuration, String> = get(address, "/configuration")
+
+    /** Publishes the release note [text]. */
+    suspend fun publish(address: String, text: String): Result<PublishReply, String> = post(address, "/release", text)
+
+    /** Puts zone [name] into or out of service. */
+    suspend fun zone(address: String, name: String, direction: Direction): Result<PublishReply, String> =
+        post(address, "/zones/${name.encodeURLPathPart()}/${direction.label}")
+
+    /** Puts VM [name] into or out of service. */
+    suspend fun vm(address: String, name: String, direction: Direction): Result<PublishReply, String> =
+        post(address, "/vms/${name.encodeURLPathPart()}/${direction.label}")
+
+    override fun close() = client.close()
+
+    private suspend inline fun <reified T> get(address: String, path: String): Result<T, String> =
+        text(address) { client.get("http://$address$path").bodyAsText() }.map { Json.decodeFromString<T>(it) }
+
+    private suspend inline fun <reified T> post(address: String, path: String, body: String = ""): Result<T, String> =
+        text(address) { client.post("http://$address$path") { setBody(body) }.bodyAsText() }
+            .map { Json.decodeFromString<T>(it) }
+
+    private suspend fun text(address: String, call: suspend () -> String): Result<String, String> = try {
+        Ok(call())
+    } catch (e: IOException) {
+        Err("operator port $address: ${e.message ?: e}")
+    } catch (e: SerializationException) {
+        Err("operator port $address: unreadable answer: ${e.message}")
+    }
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -206,6 +206,7 @@
     private fun operatorPort() = OperatorPort(
         publisher = ConfigurationPublisher(store, nonces),
         status = { withContext(control) { status() } },
+        configuration = { withContext(control) { holder.current } },
         isReady = { isReady() },
         counts = { withContext(control) { counters.snapshot() } },
         metrics = metrics::exposition,
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/operator/OperatorServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/operator/OperatorServer.kt
@@ -70,6 +70,7 @@
 internal class OperatorPort(
     val publisher: ConfigurationPublisher,
     val status: suspend () -> DaemonStatus,
+    val configuration: suspend () -> Configuration,
     val isReady: suspend () -> Boolean,
     val counts: suspend () -> List<CallCount>,
     val metrics: () -> String,
@@ -86,6 +87,9 @@
         }
         get("/metrics") { call.respondText(port.metrics(), ContentType.Text.Plain) }
         get("/status") { call.respondText(Json.encodeToString(port.status()), ContentType.Application.Json) }
+        get("/configuration") {
+            call.respondText(Json.encodeToString(port.configuration()), ContentType.Application.Json)
+        }
         get("/objectives") { call.respondText(Json.encodeToString(port.counts()), ContentType.Application.Json) }
         changeRoutes(port.publisher)
     }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -57,8 +57,7 @@
     val settings = try {
         Yaml.default.decodeFromString(EntrySettings.serializer(), text)
     } catch (e: YamlException) {
-        val key = e.path.toHumanReadableString()
-        return Err(listOf(SettingsError(key, "line ${e.line}: ${e.message.lines().first()}")))
+        return Err(listOf(syntaxError(e)))
     }
     val errors = checkEntrySettings(settings)
     return if (errors.isEmpty()) Ok(settings) else Err(errors)
@@ -68,19 +67,25 @@
 fun checkEntrySettings(settings: EntrySettings): List<SettingsError> = buildList {
     checkText("vm", settings.vm)
     checkText("zone", settings.zone)
-    checkRange("callerPort", settings.callerPort.toLong(), PORTS)
-    checkRange("operatorPort", settings.operatorPort.toLong(), PORTS)
-    checkRange("peerPort", settings.peerPort.toLong(), PORTS)
-    checkRange("leaseTimeToLiveMs", settings.leaseTimeToLiveMs, LEASE_MS)
-    checkRange("leaseRenewEveryMs", settings.leaseRenewEveryMs, 1..settings.leaseTimeToLiveMs / 2)
-    checkRange("leaseMarginMs", settings.leaseMarginMs, LEASE_MS)
-    checkRange("leaseListEveryMs", settings.leaseListEveryMs, LEASE_MS)
-    checkRange("shards", settings.shards.toLong(), SHARDS)
-    checkRange("journalLingerMs", settings.journalLingerMs, LINGER_MS)
-    checkRange("configurationPollMs", settings.configurationPollMs, POLL_MS)
-    checkRange("configurationMaxProofAgeMs", settings.configurationMaxProofAgeMs, POLL_MS)
-    checkRange("callDeadlineMs", settings.callDeadlineMs, DEADLINE_MS)
-    checkRange("storeTimeoutMs", settings.storeTimeoutMs, POLL_MS)
+    checkRange("callerPort", settings.callerPort.toLong())
+    checkRange("operatorPort", settings.operatorPort.toLong())
+    checkRange("peerPort", settings.peerPort.toLong())
+    checkRange("leaseTimeToLiveMs", settings.leaseTimeToLiveMs)
+    checkRange("leaseRenewEveryMs", settings.leaseRenewEveryMs)
+    checkRange("leaseMarginMs", settings.leaseMarginMs)
+    checkRange("leaseListEveryMs", settings.leaseListEveryMs)
+    checkRange("shards", settings.shards.toLong())
+    checkRange("journalLingerMs", settings.journalLingerMs)
+    checkRange("configurationPollMs", settings.configurationPollMs)
+    checkRange("configurationMaxProofAgeMs", settings.configurationMaxProofAgeMs)
+    checkRange("callDeadlineMs", settings.callDeadlineMs)
+    checkRange("storeTimeoutMs", settings.storeTimeoutMs)
+    // A lease must survive one lost renewal.
+    if (settings.leaseRenewEveryMs > settings.leaseTimeToLiveMs / 2) {
+        val most = settings.leaseTimeToLiveMs / 2
+        val problem = "expected at most half of leaseTimeToLiveMs, $most, actual ${settings.leaseRenewEveryMs}"
+        add(SettingsError("leaseRenewEveryMs", problem))
+    }
 }
 
 /** Times of the ownership protocol. */
@@ -95,19 +100,41 @@
 /** Times of group commit. */
 fun EntrySettings.journal(): JournalSettings = JournalSettings(linger = journalLingerMs.milliseconds)
 
+/** Names the accepted range too where the fault is a value that isn't a whole number, for example one with a unit. */
+private fun syntaxError(e: YamlException): SettingsError {
+    val key = e.path.toHumanReadableString()
+    val range = RANGES[key]?.let { "; expected a whole number from ${it.first} to ${it.last}" }.orEmpty()
+    return SettingsError(key, "line ${e.line}: ${e.message.lines().first().trimEnd('.')}$range")
+}
+
 private fun MutableList<SettingsError>.checkText(key: String, value: String) {
     val isName = NAME_PATTERN.matches(value)
     if (!isName) add(SettingsError(key, "expected letters, digits, dots and dashes, actual '$value'"))
 }
 
-private fun MutableList<SettingsError>.checkRange(key: String, value: Long, range: LongRange) {
+private fun MutableList<SettingsError>.checkRange(key: String, value: Long) {
+    val range = RANGES.getValue(key)
     if (value !in range) add(SettingsError(key, "expected ${range.first} to ${range.last}, actual $value"))
 }
 
 private val NAME_PATTERN = Regex("[A-Za-z0-9.-]{1,63}")
 private val PORTS = 0L..65_535L
 private val LEASE_MS = 10L..600_000L
-private val SHARDS = 1L..100_000L
-private val LINGER_MS = 0L..1_000L
-private val POLL_MS = 10L..60_000L
-private val DEADLINE_MS = 10L..3_600_000L
+private val INTERVAL_MS = 10L..60_000L
+
+/** Accepted values of the whole-number settings, by key. */
+private val RANGES: Map<String, LongRange> = mapOf(
+    "callerPort" to PORTS,
+    "operatorPort" to PORTS,
+    "peerPort" to PORTS,
+    "leaseTimeToLiveMs" to LEASE_MS,
+    "leaseRenewEveryMs" to LEASE_MS,
+    "leaseMarginMs" to LEASE_MS,
+    "leaseListEveryMs" to LEASE_MS,
+    "shards" to 1L..100_000L,
+    "journalLingerMs" to 0L..1_000L,
+    "configurationPollMs" to INTERVAL_MS,
+    "configurationMaxProofAgeMs" to INTERVAL_MS,
+    "callDeadlineMs" to 10L..3_600_000L,
+    "storeTimeoutMs" to INTERVAL_MS,
+)
