Run and compare bench scenarios from the command line

The bounds test treats the measures of KNOWN-RED.txt apart: it runs them too, prints them, and fails when one of them passes, so that the list stays true.

--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/BoundsCheck.kt
@@ -0,0 +1,42 @@
+package io.jasmineford.bench
+
+/**
+ * Result of checking the bounds of all scenarios against the list of known failures.
+ *
+ * @property broken measures above their bounds that are not listed.
+ * @property red listed measures that are above their bounds, as expected.
+ * @property unexpectedlyGreen entries whose measure holds its bound; they must leave the list.
+ * @property unmeasured entries that name no measure of the run.
+ */
+data class BoundsReport(
+    val broken: List<Measurement>,
+    val red: List<Measurement>,
+    val unexpectedlyGreen: List<KnownRed>,
+    val unmeasured: List<KnownRed>,
+) {
+    /** Whether nothing is broken and the list of known failures is true. */
+    val isAsExpected: Boolean get() = broken.isEmpty() && unexpectedlyGreen.isEmpty() && unmeasured.isEmpty()
+}
+
+/** Runs [scenarios] with the default seed, and those of [known] measures with the seeds of their entries. */
+fun checkBounds(scenarios: List<Scenario>, known: List<KnownRed>): BoundsReport {
+    val listed = known.filter { it.measure != null }
+    val runs = scenarios.map { it to DEFAULT_SEED } + listed.mapNotNull { entry ->
+        scenarios.firstOrNull { it.name == entry.measure?.substringBefore('/') }?.let { it to entry.seed }
+    }
+    val measured = runs.distinctBy { (scenario, seed) -> scenario.name to seed }
+        .flatMap { (scenario, seed) -> scenario.run(seed) }
+        .groupBy { it.path to it.seed }
+    val listedKeys = listed.map { it.measure to it.seed }.toSet()
+    val above = measured.values.flatten().filterNot { it.isWithinBound }
+    val (red, broken) = above.partition { (it.path to it.seed) in listedKeys }
+    return BoundsReport(
+        broken = broken,
+        red = red,
+        unexpectedlyGreen = listed.filter { entry -> measured[entry.measure to entry.seed]?.all { it.isWithinBound } == true },
+        unmeasured = listed.filter { (it.measure to it.seed) !in measured },
+    )
+}
+
+/** `scenario/variant/measure`, as KNOWN-RED.txt names it. */
+val Measurement.path: String get() = "$scenario/$variant/$measure"
--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/KnownRed.kt
@@ -0,0 +1,67 @@
+package io.jasmineford.bench
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+
+/**
+ * One check that fails because of a real fault that is not fixed yet: a measure of the bench or a test.
+ *
+ * @property command what to run to see the failure.
+ * @property measure `scenario/variant/measure`, or null when the entry names a test.
+ * @property test class and title of a test, or null when the entry names a measure.
+ * @property seen what the failing run showed.
+ * @property issue what is wrong and still open.
+ */
+data class KnownRed(
+    val command: String,
+    val seed: Long,
+    val measure: String? = null,
+    val test: String? = null,
+    val seen: String,
+    val issue: String,
+)
+
+/**
+ * Reads the entries of KNOWN-RED.txt: one line of key=value pairs an entry, values with spaces in double quotes. Empty
+ * lines and lines that start with `#` are skipped. The error names the first faulty line.
+ */
+fun parseKnownRed(text: String): Result<List<KnownRed>, String> {
+    val entries = mutableListOf<KnownRed>()
+    for ((index, line) in text.lines().withIndex()) {
+        if (line.isBlank() || line.startsWith("#")) continue
+        val pairs = PAIR.findAll(line).associate { it.groupValues[1] to it.groupValues[2].removeSurrounding("\"") }
+        val rest = PAIR.replace(line, "").trim()
+        val problem = if (rest.isNotEmpty()) "expected key=value pairs, actual '$rest'" else problemOf(pairs)
+        if (problem != null) return Err("line ${index + 1}: $problem")
+        entries += KnownRed(
+            command = pairs.getValue("command"),
+            seed = pairs.getValue("seed").toLong(),
+            measure = pairs["measure"],
+            test = pairs["test"],
+            seen = pairs.getValue("seen"),
+            issue = pairs.getValue("issue"),
+        )
+    }
+    return Ok(entries)
+}
+
+private fun problemOf(pairs: Map<String, String>): String? {
+    val missing = REQUIRED - pairs.keys
+    val unknown = pairs.keys - REQUIRED - "measure" - "test"
+    val measure = pairs["measure"]
+    return when {
+        missing.isNotEmpty() -> "expected the keys $missing, actual none"
+        unknown.isNotEmpty() -> "expected no keys but $REQUIRED, measure and test, actual $unknown"
+        (measure == null) == (pairs["test"] == null) -> "expected either measure or test"
+        measure != null && measure.split('/').size != MEASURE_PARTS ->
+            "expected measure=scenario/variant/measure, actual $measure"
+
+        pairs["seed"]?.toLongOrNull() == null -> "expected a whole number as seed, actual ${pairs["seed"]}"
+        else -> null
+    }
+}
+
+private val REQUIRED = setOf("command", "seed", "seen", "issue")
+private val PAIR = Regex("""([a-z]+)=("[^"]*"|\S+)""")
+private const val MEASURE_PARTS = 3
--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/bench/BenchTables.kt
@@ -0,0 +1,34 @@
+package io.jasmineford.cli.bench
+
+import com.github.ajalt.mordant.table.table
+import io.jasmineford.bench.ComparisonRow
+import io.jasmineford.bench.Measurement
+import io.jasmineford.bench.isWithinBound
+
+/** Table of one run. */
+internal fun measurementTable(measurements: List<Measurement>) = table {
+    header { row("scenario", "variant", "measure", "value", "unit", "bound", "seed", "") }
+    body {
+        for (it in measurements) {
+            val mark = if (it.isWithinBound) "" else "exceeded"
+            row(it.scenario, it.variant, it.measure, short(it.value), it.unit, it.bound?.let(::short).orEmpty(), it.seed, mark)
+        }
+    }
+}
+
+/** Table of a comparison. */
+internal fun comparisonTable(rows: List<ComparisonRow>) = table {
+    header { row("verdict", "scenario", "variant", "measure", "old", "new", "change", "unit", "") }
+    body {
+        for (it in rows) {
+            val change = it.changePercent?.let { percent -> "%+.1f %%".format(percent) }.orEmpty()
+            val mark = if (it.isBoundExceeded) "bound exceeded" else ""
+            val verdict = it.verdict.name.lowercase()
+            row(verdict, it.scenario, it.variant, it.measure, it.old.text(), it.new.text(), change, it.unit, mark)
+        }
+    }
+}
+
+private fun Double?.text(): String = this?.let(::short).orEmpty()
+
+private fun short(value: Double): String = "%.4g".format(value)
