Lend shared quantities in slices

Buckets and endpoint windows need one owner that lends units to the VMs with demand. Lent but unused tokens count against the burst, since a borrower may use them late.

--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SliceBorrower.kt
@@ -0,0 +1,125 @@
+package io.jasmineford.core.limit
+
+import kotlin.math.ceil
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** A message that a borrower asks its driver to send to the owner of the quantity. */
+sealed interface SliceMessage {
+    /** Request for up to [units]; the reply goes to [SliceBorrower.onGrant] with this message. */
+    data class Borrow(val number: Long, val units: Double, val demandPerSecond: Double) : SliceMessage
+
+    /** End of slice [id] with [unused] units. Has no reply; a lost one costs the owner the slice's validity. */
+    data class Return(val id: Long, val unused: Double) : SliceMessage
+}
+
+/**
+ * Borrower's side of one quantity on one VM.
+ *
+ * [poll] asks ahead of need by the estimated demand and returns what is used up or idle. Units may be used only until
+ * their slice's validity has passed, counted on this VM's clock from before the request was sent.
+ *
+ * @param isReusable true for a window: a unit goes back with [release] and can be taken again; a slice is returned when
+ *   none of its units is in use. False for a bucket: a unit is used once.
+ */
+class SliceBorrower(
+    private val settings: SliceSettings,
+    private val isReusable: Boolean = false,
+) {
+    private val held = ArrayDeque<Held>()
+    private val demand = DemandEstimate(settings.lookahead)
+    private var outstanding: SliceMessage.Borrow? = null
+    private var sentAt = Duration.ZERO
+    private var nextRequest = Duration.ZERO
+    private var number = 0L
+    private var unmet = 0
+
+    /** Units that may be taken at [now]. */
+    fun available(now: Duration): Double = held.filter { now < it.endsAt }.sumOf { it.left }
+
+    /** Whether nothing is held, wanted or outstanding, so that this borrower can be dropped. */
+    fun isIdle(now: Duration): Boolean =
+        held.isEmpty() && outstanding == null && unmet == 0 && demand.perSecond(now) < NEGLIGIBLE_DEMAND
+
+    /** Takes one unit and returns its slice's id; null when there is none. */
+    fun tryTake(now: Duration): Long? {
+        val slice = held.filter { now < it.endsAt && it.left >= 1.0 }.minByOrNull { it.endsAt }
+        if (slice == null) {
+            unmet++
+            return null
+        }
+        demand.add(now)
+        slice.left -= 1.0
+        slice.inUse += if (isReusable) 1 else 0
+        slice.usedAt = now
+        return slice.id
+    }
+
+    /** Frees a unit of slice [id] of a window. */
+    fun release(now: Duration, id: Long) {
+        val slice = held.firstOrNull { it.id == id } ?: return
+        slice.left += 1.0
+        slice.inUse--
+        slice.usedAt = now
+    }
+
+    /** Messages that are due. [waiting] is the number of requests that wait here, if the caller knows it. */
+    fun poll(now: Duration, waiting: Int = unmet): List<SliceMessage> = buildList {
+        held.removeAll { now >= it.endsAt && it.inUse == 0 }
+        val ahead = aheadOfNeed(now)
+        val finished = held.filter { isFinished(it, now) }
+        held.removeAll(finished)
+        finished.mapTo(this) { SliceMessage.Return(it.id, it.left) }
+        if (outstanding != null && now - sentAt > settings.patience) outstanding = null
+        val missing = waiting + ahead - available(now)
+        if (missing >= 1.0 && outstanding == null && now >= nextRequest) {
+            val request = SliceMessage.Borrow(++number, missing, demand.perSecond(now))
+            outstanding = request
+            sentAt = now
+            add(request)
+        }
+    }
+
+    /** Takes the reply to [request]; null when none came. A reply that comes too late is returned unused. */
+    fun onGrant(now: Duration, request: SliceMessage.Borrow, grant: SliceGrant?): SliceMessage.Return? {
+        val slice = grant?.slice
+        if (outstanding != request) return slice?.let { SliceMessage.Return(it.id, it.units) }
+        outstanding = null
+        nextRequest = now + (grant?.retryAfter ?: settings.minRetry)
+        if (slice == null) return null
+        unmet = (unmet - slice.units.toInt()).coerceAtLeast(0)
+        held += Held(slice.id, slice.units, endsAt = sentAt + slice.valid, usedAt = now)
+        return null
+    }
+
+    /** Drops every slice, for a change of owner after which the old slices no longer count. */
+    fun clear() {
+        held.clear()
+        outstanding = null
+        nextRequest = Duration.ZERO
+    }
+
+    /** Forgets requests that waited, when the caller knows that none waits any more. */
+    fun noneWaits() {
+        unmet = 0
+    }
+
+    private fun aheadOfNeed(now: Duration): Int {
+        val expected = demand.perSecond(now) * settings.lookahead.toDouble(DurationUnit.SECONDS)
+        return if (expected < LEAST_AHEAD) 0 else ceil(expected).toInt()
+    }
+
+    private fun isFinished(slice: Held, now: Duration): Boolean = when {
+        slice.inUse > 0 -> false
+        slice.left < 1.0 -> true
+        else -> now - slice.usedAt >= settings.idleReturn
+    }
+
+    private class Held(val id: Long, var left: Double, val endsAt: Duration, var usedAt: Duration, var inUse: Int = 0)
+
+    private companion object {
+        /** Requests expected in the lookahead below which a slice ahead of need would mostly be returned unused. */
+        const val LEAST_AHEAD = 0.5
+        const val NEGLIGIBLE_DEMAND = 0.01
+    }
+}
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SliceLender.kt
@@ -0,0 +1,96 @@
+package io.jasmineford.core.limit
+
+import kotlin.time.Duration
+
+/**
+ * Owner's side of one quantity: lends whole units to VMs for a limited time.
+ *
+ * The units of a slice count as lent until the slice is returned or its time has passed here. The borrower counts the
+ * same time from before it sent its request, so its right always ends first. Borrowers that wait are served in turn.
+ *
+ * @param firstId number of the first slice; a new owner must not use numbers of the owner before it again.
+ */
+class SliceLender(
+    private val supply: SliceSupply,
+    private val settings: SliceSettings,
+    firstId: Long = 1,
+) {
+    private val slices = LinkedHashMap<Long, LentSlice>()
+    private val waiting = LinkedHashMap<String, Duration>()
+    private var nextId = firstId
+
+    /** Units in slices that are neither returned nor expired. */
+    var lent: Double = 0.0
+        private set
+
+    /**
+     * Lends up to [wanted] units to [borrower].
+     *
+     * @param rightLeft time for which the owner surely keeps its right to act; no slice is valid for longer.
+     */
+    fun borrow(now: Duration, borrower: String, wanted: Double, rightLeft: Duration): SliceGrant {
+        advance(now)
+        val valid = minOf(settings.valid, rightLeft)
+        if (!valid.isPositive()) return SliceGrant(slice = null, retryAfter = settings.minRetry)
+        val units = minOf(wanted, supply.available(lent) - owedBefore(borrower)).wholeUnits()
+        if (units < 1.0) {
+            waiting[borrower] = now
+            return SliceGrant(slice = null, retryAfter = retryAfter(owedBefore(borrower) + 1.0))
+        }
+        waiting.remove(borrower)
+        val slice = LentSlice(units, endsAt = now + valid * CLOCK_RATE_ALLOWANCE)
+        slices[nextId] = slice
+        supply.take(units)
+        lent += units
+        val retryAfter = if (units < wanted.wholeUnits()) retryAfter(owedBefore(borrower) + 1.0) else Duration.ZERO
+        return SliceGrant(Slice(nextId++, units, valid), retryAfter)
+    }
+
+    /** Ends slice [id], of which [unused] units were not used. Unknown and expired slices are ignored. */
+    fun giveBack(now: Duration, id: Long, unused: Double) {
+        advance(now)
+        val slice = slices.remove(id) ?: return
+        lent -= slice.units
+        supply.putBack(unused.coerceIn(0.0, slice.units))
+    }
+
+    /**
+     * Lets slice [id] run on for its full validity from [now], and returns that validity; null when the slice has ended.
+     * Meant for windows, where a running call keeps its slot. The borrower counts from before it sent the request.
+     */
+    fun extend(now: Duration, id: Long, rightLeft: Duration): Duration? {
+        advance(now)
+        val slice = slices.remove(id) ?: return null
+        val valid = minOf(settings.valid, rightLeft)
+        slices[id] = slice.copy(endsAt = maxOf(slice.endsAt, now + valid * CLOCK_RATE_ALLOWANCE))
+        return valid.takeIf { it.isPositive() }
+    }
+
+    /** Ends slices whose time has passed; their units count as used. */
+    fun advance(now: Duration) {
+        supply.advance(now, lent)
+        val ended = slices.entries.filter { it.value.endsAt <= now }
+        ended.forEach {
+            slices.remove(it.key)
+            lent -= it.value.units
+        }
+        if (slices.isEmpty()) lent = 0.0
+        waiting.values.removeAll { now - it > settings.patience }
+    }
+
+    /** One unit for each borrower that has waited longer than [borrower]. */
+    private fun owedBefore(borrower: String): Double = waiting.keys.takeWhile { it != borrower }.size.toDouble()
+
+    private fun retryAfter(units: Double): Duration =
+        supply.timeUntil(units, lent).coerceIn(settings.minRetry, settings.patience / 2)
+
+    private data class LentSlice(val units: Double, val endsAt: Duration)
+}
+
+private fun Double.wholeUnits(): Double = kotlin.math.floor(this + ROUNDING)
+
+/** Tolerance for sums of fractions of a token; far below one request. */
+private const val ROUNDING = 1e-9
+
+/** Monotonic clocks of two VMs run at rates that differ by less than 1 in 1,000. */
+private const val CLOCK_RATE_ALLOWANCE = 1.001
