Keep slices whose grant comes late

A borrower now remembers when each request was sent and keeps a late grant until its validity has passed, counted from then.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SliceBorrower.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SliceBorrower.kt
@@ -28,8 +28,8 @@
 ) {
     private val held = ArrayDeque<Held>()
     private val demand = DemandEstimate(settings.lookahead)
-    private var outstanding: SliceMessage.Borrow? = null
-    private var sentAt = Duration.ZERO
+    private val sentAt = HashMap<Long, Duration>()
+    private var awaited: Long? = null
     private var nextRequest = Duration.ZERO
     private var number = 0L
     private var unmet = 0
@@ -39,7 +39,7 @@
 
     /** Whether nothing is held, wanted or outstanding, so that this borrower can be dropped. */
     fun isIdle(now: Duration): Boolean =
-        held.isEmpty() && outstanding == null && unmet == 0 && demand.perSecond(now) < NEGLIGIBLE_DEMAND
+        held.isEmpty() && sentAt.isEmpty() && unmet == 0 && demand.perSecond(now) < NEGLIGIBLE_DEMAND
 
     /** Takes one unit and returns its slice's id; null when there is none. */
     fun tryTake(now: Duration): Long? {
@@ -70,32 +70,32 @@
         val finished = held.filter { isFinished(it, now) }
         held.removeAll(finished)
         finished.mapTo(this) { SliceMessage.Return(it.id, it.left) }
-        if (outstanding != null && now - sentAt > settings.patience) outstanding = null
+        sentAt.values.removeAll { now - it > settings.valid }
+        if (awaited?.let { sentAt[it] }?.let { now - it <= settings.patience } != true) awaited = null
         val missing = waiting + ahead - available(now)
-        if (missing >= 1.0 && outstanding == null && now >= nextRequest) {
+        if (missing >= 1.0 && awaited == null && now >= nextRequest) {
             val request = SliceMessage.Borrow(++number, missing, demand.perSecond(now))
-            outstanding = request
-            sentAt = now
+            awaited = number
+            sentAt[number] = now
             add(request)
         }
     }
 
-    /** Takes the reply to [request]; null when none came. A reply that comes too late is returned unused. */
-    fun onGrant(now: Duration, request: SliceMessage.Borrow, grant: SliceGrant?): SliceMessage.Return? {
-        val slice = grant?.slice
-        if (outstanding != request) return slice?.let { SliceMessage.Return(it.id, it.units) }
-        outstanding = null
-        nextRequest = now + (grant?.retryAfter ?: settings.minRetry)
-        if (slice == null) return null
+    /** Takes the reply to [request], which may come late; null when there is none. */
+    fun onGrant(now: Duration, request: SliceMessage.Borrow, grant: SliceGrant?) {
+        val sent = sentAt.remove(request.number) ?: return
+        if (awaited == request.number) {
+            awaited = null
+            nextRequest = now + (grant?.retryAfter ?: settings.minRetry)
+        }
+        val slice = grant?.slice ?: return
         unmet = (unmet - slice.units.toInt()).coerceAtLeast(0)
-        held += Held(slice.id, slice.units, endsAt = sentAt + slice.valid, usedAt = now)
-        return null
+        held += Held(slice.id, slice.units, endsAt = sent + slice.valid, usedAt = now)
     }
 
-    /** Drops every slice, for a change of owner after which the old slices no longer count. */
-    fun clear() {
-        held.clear()
-        outstanding = null
+    /** Lets the next [poll] ask at once, for a change of owner. Slices of the old owner stay usable for their time. */
+    fun ownerChanged() {
+        awaited = null
         nextRequest = Duration.ZERO
     }
 
--- a/jasmineford-core/src/test/kotlin/io/jasmineford/core/limit/SliceTest.kt
+++ b/jasmineford-core/src/test/kotlin/io/jasmineford/core/limit/SliceTest.kt
@@ -60,7 +60,7 @@
                 is SliceMessage.Return -> lender.giveBack(now, message.id, message.unused)
                 is SliceMessage.Borrow -> {
                     val grant = lender.borrow(now, "vm-$borrower", message.units, rightLeft = 1.seconds)
-                    later(borrower) { borrowers[borrower].onGrant(now, message, grant)?.let { lender.giveBack(now, it.id, it.unused) } }
+                    later(borrower) { borrowers[borrower].onGrant(now, message, grant) }
                 }
             }
         }
