Accept keys at every place and end running calls on withdrawal

Cause: a key was accepted only as a bearer token, a key in a query or body reached the endpoint, a stream went on after its key was withdrawn, and each lookup compared all keys with a regex each.

Change: KeyIndex finds the account by the first digits of the digest and compares in constant time. separateCredentials takes keys out of headers, query and cookies; a request that still holds its key in path, headers or body (plain, percent-encoded or JSON-escaped) is refused as not run. KeyGuard ends a running call on the caller's VM and on the VM that it was forwarded to, cancels the call upstream and tells key-withdrawn in a problem and an outcome event. The key is checked again after each wait for the account's rate.

Touches other packages in a few lines: Call.generation, Problem.addresses, CallCodec, ServiceServer.onTarget.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/Configuration.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/Configuration.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.core.config
 
 import io.jasmineford.core.key.KeyDigest
+import io.jasmineford.core.key.KeyIndex
 import kotlinx.serialization.Serializable
 
 /** A name within an organisation, since merged fleets use the same names for different things. */
@@ -36,20 +37,16 @@
     val generation: Long = 0,
     val organisations: Map<String, OrganisationConfiguration> = emptyMap(),
     val serviceState: ServiceState = ServiceState(),
-)
+) {
+    private val keyIndex: KeyIndex by lazy { KeyIndex(organisations.flatMap { (name, content) -> content.digests(name) }) }
 
-/** The account that a key belongs to, or null. Every stored digest is compared, so that the time reveals nothing. */
-fun Configuration.accountOf(digest: KeyDigest): ScopedName? {
-    var found: ScopedName? = null
-    for ((organisation, content) in organisations) {
-        for (key in content.keys.values) {
-            val isMatch = KeyDigest(key.digest.removePrefix(DIGEST_PREFIX)).matches(digest)
-            if (isMatch) found = ScopedName(organisation, key.account)
-        }
-    }
-    return found
+    /** The account that a key belongs to, or null. */
+    fun accountOf(digest: KeyDigest): ScopedName? = keyIndex.accountOf(digest)
 }
 
+private fun OrganisationConfiguration.digests(organisation: String): List<Pair<KeyDigest, ScopedName>> =
+    keys.values.map { KeyDigest(it.digest.removePrefix(DIGEST_PREFIX)) to ScopedName(organisation, it.account) }
+
 /** The route [name] of [organisation], or null. */
 fun Configuration.route(organisation: String, name: String): Route? = organisations[organisation]?.routes?.get(name)
 
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/key/KeyDigest.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/key/KeyDigest.kt
@@ -11,7 +11,7 @@
 @JvmInline
 value class KeyDigest(val hex: String) {
     init {
-        require(DIGEST_PATTERN.matches(hex)) { "expected 64 lower-case hexadecimal digits, actual ${hex.length} characters" }
+        require(isKeyDigest(hex)) { "expected 64 lower-case hexadecimal digits, actual ${hex.length} characters" }
     }
 
     /** Compares all bytes whatever the first difference, so that the time taken reveals nothing. */
@@ -19,7 +19,7 @@
 }
 
 /** True when [text] is a digest in the form of [KeyDigest.hex]. */
-fun isKeyDigest(text: String): Boolean = DIGEST_PATTERN.matches(text)
+fun isKeyDigest(text: String): Boolean = text.length == DIGEST_LENGTH && text.all { it in '0'..'9' || it in 'a'..'f' }
 
 /** Digest of a key as the caller presents it. */
 fun digestOfKey(key: String): KeyDigest {
@@ -27,4 +27,4 @@
     return KeyDigest(HexFormat.of().formatHex(digest))
 }
 
-private val DIGEST_PATTERN = Regex("[0-9a-f]{64}")
+private const val DIGEST_LENGTH = 64
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -5,7 +5,6 @@
 import io.jasmineford.core.address.AddressAnswer
 import io.jasmineford.core.address.chooseAddresses
 import io.jasmineford.core.config.ConfigurationHolder
-import io.jasmineford.core.config.accountOf
 import io.jasmineford.core.key.digestOfKey
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
@@ -23,6 +22,7 @@
 import io.jasmineford.daemon.call.ServiceClient
 import io.jasmineford.daemon.caller.AdmissionGate
 import io.jasmineford.daemon.caller.CallerPort
+import io.jasmineford.daemon.caller.KeyGuard
 import io.jasmineford.daemon.caller.callerModule
 import io.jasmineford.daemon.control.ConfigurationDriver
 import io.jasmineford.daemon.control.ConfigurationPublisher
@@ -82,13 +82,17 @@
     private val client = HttpClient(CIO) { install(HttpTimeout) }
     private val queue = EndpointQueue(CallScheduler(clock), control)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
+    private val guard = KeyGuard(control, holder)
     private val configuration = ConfigurationDriver(
         scope = scope,
         store = store,
         holder = holder,
         clock = clock,
         pollEvery = settings.configurationPollMs.milliseconds,
-        onChange = queue::configurationChanged,
+        onChange = {
+            queue.configurationChanged(it)
+            guard.configurationChanged(it)
+        },
     )
     private var isLeaving = false
     private var isClosed = false
@@ -194,9 +198,9 @@
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
         gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
-        handle = { router.handle(it) },
+        handle = { guard.guard(it, router::handle) },
         addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
-        isLeaving = { isLeaving },
+        isOut = { isLeaving },
         onAnswered = { labels ->
             metrics.answered(labels)
             withContext(control) { counters.count(labels) }
@@ -213,7 +217,7 @@
 
     private fun peerPort() = PeerPort(
         clock = clock,
-        handle = { router.handle(it) },
+        handle = { guard.guard(it, router::handle) },
         probe = { withContext(control) { probe() } },
     )
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/Call.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/Call.kt
@@ -24,6 +24,7 @@
  * @property path path and query without credentials.
  * @property deadline on this VM's monotonic clock.
  * @property hops VMs that forwarded the call so far.
+ * @property generation generation of the configuration in which the key was found.
  */
 class Call(
     val requestId: String,
@@ -35,6 +36,7 @@
     val body: ByteArray,
     val deadline: Duration,
     val hops: Int = 0,
+    val generation: Long = 0,
 ) {
     /** Value of the first header [name], or null. */
     fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
@@ -52,7 +54,7 @@
     data class End(val outcome: Outcome, val reason: Reason? = null) : CallEvent
 }
 
-/** Problem details of RFC 9457 with the outcome. */
+/** Problem details of RFC 9457 with the outcome. [addresses] are entry VMs that take the request instead. */
 @Serializable
 data class Problem(
     val type: String,
@@ -61,6 +63,7 @@
     val detail: String,
     val outcome: String,
     val reason: String,
+    val addresses: List<String> = emptyList(),
 )
 
 /** Names of the product's own headers. */
@@ -88,7 +91,7 @@
 )
 
 /** Whole answer of this refusal. */
-fun Refusal.toEvents(): List<CallEvent> {
+fun Refusal.toEvents(problem: Problem = toProblem()): List<CallEvent> {
     val retry = retryAfter?.let { HeaderField("Retry-After", wholeSecondsUp(it).toString()) }
     val headers = listOfNotNull(
         HeaderField("Content-Type", "application/problem+json"),
@@ -96,7 +99,7 @@
         HeaderField(CallHeaders.REASON, reason.label),
         retry,
     )
-    val body = Json.encodeToString(toProblem()).toByteArray()
+    val body = Json.encodeToString(problem).toByteArray()
     return listOf(CallEvent.Head(reason.status, headers), CallEvent.Data(body), CallEvent.End(outcome, reason))
 }
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AdmissionGate.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AdmissionGate.kt
@@ -3,12 +3,13 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.get
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.config.ConfigurationHolder
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.config.account
-import io.jasmineford.core.config.accountOf
+import io.jasmineford.core.config.route
 import io.jasmineford.core.key.KeyDigest
 import io.jasmineford.core.key.digestOfKey
 import io.jasmineford.core.limit.AccountLimiter
@@ -20,10 +21,11 @@
 import kotlinx.coroutines.withContext
 import kotlin.time.Duration
 
-/** Who a request runs for. [keyDigest] is null on open routes. */
+/** Who a request runs for, by the configuration of [generation]. [keyDigest] is null on open routes. */
 internal data class Caller(
     val account: ScopedName,
     val keyDigest: KeyDigest?,
+    val generation: Long,
 )
 
 /** Checks a caller's key and its account's rate. */
@@ -39,9 +41,10 @@
         openRoute: ScopedName?,
         deadline: Duration,
     ): Result<Caller, Refusal> {
-        val identified = withContext(control) { identify(key, openRoute) }
-        val caller = identified.component1() ?: return identified
         while (true) {
+            // The key is checked again after each wait, since it may have been withdrawn meanwhile.
+            val identified = withContext(control) { identify(key, openRoute) }
+            val caller = identified.get() ?: return identified
             val admission = withContext(control) { limiter.admit(caller.account, rateOf(caller)) }
             when (admission) {
                 Admission.Admitted -> return Ok(caller)
@@ -52,11 +55,12 @@
     }
 
     private fun identify(key: String?, openRoute: ScopedName?): Result<Caller, Refusal> {
-        val route = openRoute?.let { configuration.current.organisations[it.organisation]?.routes?.get(it.name) }
+        val route = openRoute?.let { configuration.current.route(it.organisation, it.name) }
         if (key == null && openRoute != null && route?.open == true) {
-            return Ok(Caller(ScopedName(openRoute.organisation, "$OPEN_PREFIX${route.name}"), keyDigest = null))
+            val account = ScopedName(openRoute.organisation, "$OPEN_PREFIX${route.name}")
+            return Ok(Caller(account, keyDigest = null, configuration.current.generation))
         }
-        if (key == null) return Err(Refusal(Reason.MISSING_KEY, "expected an Authorization header, actual none"))
+        if (key == null) return Err(Refusal(Reason.MISSING_KEY, "expected a key, actual none"))
         if (!configuration.isProvedCurrent()) {
             val age = configuration.proofAge()
             return Err(Refusal(Reason.CONFIGURATION_TOO_OLD, "the last proof of the configuration is $age old"))
@@ -64,7 +68,7 @@
         val digest = digestOfKey(key)
         val account = configuration.current.accountOf(digest)
             ?: return Err(Refusal(Reason.UNKNOWN_KEY, "no account has this key"))
-        return Ok(Caller(account, digest))
+        return Ok(Caller(account, digest, configuration.current.generation))
     }
 
     private fun rateOf(caller: Caller): AccountRate {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
@@ -1,5 +1,7 @@
 package io.jasmineford.daemon.caller
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import io.jasmineford.core.address.AddressAnswer
 import io.jasmineford.core.call.Outcome
@@ -11,18 +13,13 @@
 import io.jasmineford.daemon.call.Call
 import io.jasmineford.daemon.call.CallEvent
 import io.jasmineford.daemon.call.CallHeaders
-import io.jasmineford.daemon.call.HeaderField
 import io.jasmineford.daemon.call.toEvents
+import io.jasmineford.daemon.call.toProblem
 import io.ktor.http.ContentType
-import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
-import io.ktor.server.request.contentType
 import io.ktor.server.request.header
-import io.ktor.server.request.httpMethod
-import io.ktor.server.request.receive
-import io.ktor.server.request.uri
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.server.response.respondText
@@ -41,11 +38,9 @@
 import kotlinx.coroutines.flow.buffer
 import kotlinx.coroutines.flow.produceIn
 import kotlinx.serialization.json.Json
-import java.util.UUID
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
-/** What the caller port needs from the daemon. */
+/** What the caller port needs from the daemon. [isOut] tells whether callers should use another VM. */
 internal class CallerPort(
     val vm: String,
     val zone: String,
@@ -54,7 +49,7 @@
     val gate: AdmissionGate,
     val handle: (Call) -> Flow<CallEvent>,
     val addresses: suspend (key: String?, program: String?, zone: String?) -> AddressAnswer,
-    val isLeaving: () -> Boolean,
+    val isOut: suspend () -> Boolean,
     val onAnswered: suspend (CallLabels) -> Unit,
 )
 
@@ -62,53 +57,48 @@
 internal fun Application.callerModule(port: CallerPort) {
     routing {
         get("/v1/addresses") {
+            val key = call.separateCredentials().keys.singleOrNull()
             val program = call.request.header(CallHeaders.PROGRAM)
-            val answer = port.addresses(call.presentedKey(), program, call.request.queryParameters["zone"])
+            val answer = port.addresses(key, program, call.request.queryParameters["zone"])
             call.respondText(Json.encodeToString(answer), ContentType.Application.Json)
         }
-        post("/v1/chat/completions") { port.serve(call, routeName = null) }
+        post("/v1/chat/completions") { port.serve(call, serviceRoute = null) }
         route("/services/{route}/{path...}") {
-            handle { port.serve(call, routeName = call.parameters["route"]) }
+            handle { port.serve(call, serviceRoute = call.parameters["route"]) }
         }
     }
 }
 
-private suspend fun CallerPort.serve(call: ApplicationCall, routeName: String?) {
-    val deadline = clock.now() + (call.request.header(CallHeaders.DEADLINE_MS)?.toLongOrNull()?.milliseconds ?: defaultDeadline)
-    val key = call.presentedKey()
-    val organisation = call.request.header(CallHeaders.ORGANISATION)
-    val openRoute = if (routeName != null && organisation != null) ScopedName(organisation, routeName) else null
+private suspend fun CallerPort.serve(call: ApplicationCall, serviceRoute: String?) {
+    val request = call.receiveCallerRequest(serviceRoute, clock.now(), defaultDeadline)
     var account: ScopedName? = null
-    val events = if (isLeaving()) {
-        Refusal(Reason.VM_LEAVING, "VM $vm is leaving").toEvents().asFlow()
+    val events = if (isOut()) {
+        redirection(request.keys.singleOrNull(), request.program)
     } else {
-        gate.admit(key, openRoute, deadline).fold(
+        admit(request).fold(
             success = { caller ->
                 account = caller.account
-                handle(call.toCall(caller, deadline))
+                handle(request.toCall(caller))
             },
             failure = { it.toEvents().asFlow() },
         )
     }
     val end = call.respondEvents(events, vm)
-    onAnswered(CallLabels(account, routeName ?: "chat", zone, end.outcome, end.reason))
+    // A caller chooses the name of a route freely, so only names that a known account used become a label.
+    val route = if (account == null) "none" else serviceRoute ?: "chat"
+    onAnswered(CallLabels(account, route, zone, end.outcome, end.reason))
 }
 
-private fun ApplicationCall.presentedKey(): String? =
-    request.header(HttpHeaders.Authorization)?.removePrefix("Bearer ")?.trim()
+private suspend fun CallerPort.admit(request: CallerRequest): Result<Caller, Refusal> {
+    val fault = request.credentialFault()
+    return if (fault != null) Err(fault) else gate.admit(request.keys.firstOrNull(), request.openRoute, request.deadline)
+}
 
-private suspend fun ApplicationCall.toCall(caller: Caller, deadline: Duration): Call = Call(
-    requestId = UUID.randomUUID().toString(),
-    account = caller.account,
-    keyDigest = caller.keyDigest,
-    method = request.httpMethod.value,
-    path = request.uri,
-    headers = request.headers.entries()
-        .filter { it.key.lowercase() !in CREDENTIAL_HEADERS }
-        .flatMap { (name, values) -> values.map { HeaderField(name, it) } },
-    body = receive<ByteArray>(),
-    deadline = deadline,
-)
+private suspend fun CallerPort.redirection(key: String?, program: String?): Flow<CallEvent> {
+    val refusal = Refusal(Reason.VM_LEAVING, "VM $vm takes no new work")
+    val problem = refusal.toProblem().copy(addresses = addresses(key, program, zone).addresses)
+    return refusal.toEvents(problem).asFlow()
+}
 
 /** Sends [events] to the caller and returns the end of the answer. */
 private suspend fun ApplicationCall.respondEvents(events: Flow<CallEvent>, vm: String): CallEvent.End = coroutineScope {
@@ -140,5 +130,3 @@
     }
     return null
 }
-
-private val CREDENTIAL_HEADERS = setOf("authorization", "cookie", "x-api-key", "proxy-authorization")
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/CallCodec.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/CallCodec.kt
@@ -42,6 +42,7 @@
     body = body.toByteArray(),
     deadline = now + deadlineMs.milliseconds,
     hops = hops,
+    generation = generation,
 )
 
 /** Message of this event. */
--- /dev/null
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -0,0 +1,146 @@
+package io.jasmineford.daemon.caller
+
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.read.ListAppender
+import io.jasmineford.core.key.digestOfKey
+import io.jasmineford.core.lease.VmIdentity
+import io.jasmineford.daemon.EntryDaemon
+import io.jasmineford.daemon.settings.EntrySettings
+import io.jasmineford.standin.engine.EngineServer
+import io.jasmineford.standin.platform.PlatformServer
+import io.jasmineford.standin.service.ServiceServer
+import io.jasmineford.store.HttpObjectStore
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.slf4j.LoggerFactory
+import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Three entry daemons, two engines and a service on loopback, and all that the endpoints and the logs saw. */
+internal class LoopbackFleet(engineTokenInterval: Long = 1) : AutoCloseable {
+    private val vms = ZONES.map { io.jasmineford.store.VmListing("$it-1", it, io.jasmineford.store.VmCondition.LIVE) }
+    private val platform = PlatformServer(vms = { vms })
+    private val logs = ListAppender<ILoggingEvent>()
+    private val seenByEndpoints = ConcurrentLinkedQueue<String>()
+    private val stores = mutableListOf<HttpObjectStore>()
+    private val daemons = mutableListOf<EntryDaemon>()
+
+    val engines = listOf("engine-a", "engine-b").map { name ->
+        EngineServer(name, tokenInterval = engineTokenInterval.milliseconds) { headers, body ->
+            seenByEndpoints += "$headers $body"
+        }
+    }
+    val service = ServiceServer(onRequest = { seenByEndpoints += it.toString() }, onTarget = { seenByEndpoints += it })
+    val http = HttpClient(CIO) { install(HttpTimeout) { requestTimeoutMillis = CLIENT_TIMEOUT_MS } }
+    val identities = mutableListOf<VmIdentity>()
+    lateinit var enginePorts: List<Int>
+    var servicePort = 0
+
+    suspend fun start(): LoopbackFleet {
+        logs.start()
+        (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as Logger).addAppender(logs)
+        enginePorts = engines.map { it.start() }
+        servicePort = service.start()
+        val url = "http://127.0.0.1:${platform.start()}"
+        for (zone in ZONES) {
+            val store = HttpObjectStore(url).also { stores += it }
+            val settings = EntrySettings(vm = "$zone-1", zone = zone, platformUrl = url, configurationPollMs = 100)
+            val daemon = EntryDaemon(settings, store).also { daemons += it }
+            identities += daemon.start()
+        }
+        return this
+    }
+
+    suspend fun publish(note: String): String =
+        http.post("http://${identities[0].operatorAddress}/release") { setBody(note) }.bodyAsText()
+
+    suspend fun setStoreDown(isDown: Boolean) = platform.withStore { this.isDown = isDown }
+
+    suspend fun awaitGeneration(generation: Long) = awaitUntil("all daemons in generation $generation") {
+        daemons.all { it.isReady() && it.generation() == generation }
+    }
+
+    suspend fun call(vm: Int, path: String, build: HttpRequestBuilder.() -> Unit = {}): HttpResponse =
+        http.post("http://${identities[vm].callerAddress}$path", build)
+
+    suspend fun chat(vm: Int, key: String, body: String = CHAT): HttpResponse =
+        call(vm, "/v1/chat/completions") {
+            header("Authorization", "Bearer $key")
+            setBody(body)
+        }
+
+    /** Everything that endpoints, logs and metrics saw so far. */
+    suspend fun traces(): Map<String, String> = mapOf(
+        "endpoints" to seenByEndpoints.joinToString("\n"),
+        "effects" to service.effects().joinToString("\n"),
+        "logs" to synchronized(logs.list) { logs.list.joinToString("\n") { "${it.formattedMessage} ${it.throwableProxy?.message}" } },
+        "metrics" to identities.map { http.get("http://${it.operatorAddress}/metrics").bodyAsText() }.joinToString("\n"),
+        "status" to identities.map { http.get("http://${it.operatorAddress}/status").bodyAsText() }.joinToString("\n"),
+    )
+
+    override fun close() {
+        (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as Logger).detachAppender(logs)
+        daemons.forEach { it.close() }
+        stores.forEach { it.close() }
+        engines.forEach { it.close() }
+        service.close()
+        platform.close()
+        http.close()
+    }
+
+    /** Items of one organisation; every organisation uses the same names. */
+    fun note(organisation: String, key: String, buildsOn: Long, enginePort: Int): String = """
+        organisation: $organisation
+        buildsOn: $buildsOn
+        added:
+          accounts: [{name: shop, ratePerSecond: 1000, burst: 1000}]
+          keys: [{name: main, account: shop, digest: "sha256:${digestOfKey(key).hex}"}]
+          deployments:
+            - {name: engines, kind: MODEL, endpoints: [{name: e, address: "127.0.0.1:$enginePort", zone: be-wal-a}]}
+            - {name: stock, kind: SERVICE, endpoints: [{name: s, address: "127.0.0.1:$servicePort", zone: be-wal-b}]}
+          routes:
+            - {name: chat, deployment: engines}
+            - {name: stock, deployment: stock}
+            - {name: once, deployment: stock, idempotent: false}
+            - {name: public, deployment: stock, open: true, openRatePerSecond: 0.01, openBurst: 1}
+    """.trimIndent()
+
+    companion object {
+        val ZONES = listOf("be-wal-a", "be-wal-b", "be-wal-c")
+        const val CHAT = """{"model":"chat","messages":[{"role":"user","content":"hello"}]}"""
+        const val CLIENT_TIMEOUT_MS = 30_000L
+    }
+}
+
+/** Runs [block] with a fleet whose two organisations `lttwb` and `shop` use the same names and different keys. */
+internal fun withLoopbackFleet(engineTokenInterval: Long = 1, block: suspend (LoopbackFleet) -> Unit) = runBlocking {
+    LoopbackFleet(engineTokenInterval).use { fleet ->
+        fleet.start()
+        fleet.publish(fleet.note("lttwb", "first-secret-key", 0, fleet.enginePorts[0]))
+        fleet.publish(fleet.note("shop", "second-secret-key", 1, fleet.enginePorts[1]))
+        fleet.awaitGeneration(2)
+        block(fleet)
+    }
+}
+
+/** Waits until [condition] holds; the limit only ends a test that would hang. */
+internal suspend fun awaitUntil(what: String, condition: suspend () -> Boolean) {
+    try {
+        withTimeout(20.seconds) { while (!condition()) delay(20.milliseconds) }
+    } catch (e: kotlinx.coroutines.TimeoutCancellationException) {
+        throw AssertionError("expected $what, actual: not within the test's limit", e)
+    }
+}
--- a/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/service/ServiceServer.kt
+++ b/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/service/ServiceServer.kt
@@ -3,6 +3,7 @@
 import io.jasmineford.standin.LoopbackServer
 import io.ktor.http.ContentType
 import io.ktor.server.request.receiveText
+import io.ktor.server.request.uri
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
@@ -21,10 +22,12 @@
  *
  * @param port 0 lets the system choose.
  * @param onRequest sees the raw headers of each request.
+ * @param onTarget sees the path and query of each request.
  */
 class ServiceServer(
     port: Int = 0,
     private val onRequest: (headers: Map<String, List<String>>) -> Unit = {},
+    private val onTarget: (target: String) -> Unit = {},
 ) : AutoCloseable {
     private val mutex = Mutex()
     private val recorded = mutableListOf<ServiceEffect>()
@@ -32,11 +35,13 @@
         routing {
             get("/stock/{item}") {
                 onRequest(call.request.headers.entries().associate { it.key to it.value })
+                onTarget(call.request.uri)
                 val item = call.parameters["item"]
                 call.respondText("""{"item":"$item","inStock":7}""", ContentType.Application.Json)
             }
             post("/{path...}") {
                 onRequest(call.request.headers.entries().associate { it.key to it.value })
+                onTarget(call.request.uri)
                 val path = call.parameters.getAll("path").orEmpty().joinToString("/")
                 val body = call.receiveText()
                 val count = mutex.withLock {
