Distribute configurations through watchers and prove them without the store

Cause: every daemon polled the head, a publication rewrote and re-read the whole configuration, and a store outage ended all keyed requests after 2 s. A repeat after a lost reply was told a false error.

Change: ConfigurationSync is a pure state machine: a few watchers a zone read the head, the others ask them, and in an outage a Census proves that no VM that may publish has done so. A VM publishes only with a valid lease and after every other VM acknowledged it (PublishingRight). The configuration is stored in pieces that keep their keys while unchanged. The index lists the recent changes, so a repeated request learns the truth and a lost race is told by names. peer.proto: Generation has more fields.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationObjects.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationObjects.kt
@@ -1,5 +1,7 @@
 package io.jasmineford.core.config
 
+import com.google.common.hash.Hashing
+import io.jasmineford.core.lease.shardOf
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 
@@ -7,25 +9,140 @@
 const val CONFIGURATION_HEAD_KEY: String = "config/head"
 
 /**
- * Head of the configuration: the one object whose conditional update puts a generation into force.
+ * Head of the configuration: the one object whose conditional update puts a generation into force. It is small because
+ * some VMs read it several times a second.
  *
- * @property chunks keys of the immutable objects that hold the configuration's text, in order.
+ * @property index key of the [ConfigurationIndex]; empty before the first publication.
  */
 @Serializable
 data class ConfigurationHead(
+    val generation: Long = 0,
+    val index: String = "",
+)
+
+/**
+ * Contents of one generation.
+ *
+ * @property pieces keys of the immutable objects that hold the configuration. A publication writes only the pieces that it
+ *   changes, and a VM reads only those that it doesn't hold yet.
+ * @property recent the last accepted changes, oldest first.
+ */
+@Serializable
+data class ConfigurationIndex(
+    val generation: Long = 0,
+    val pieces: List<String> = emptyList(),
+    val serviceState: ServiceState = ServiceState(),
+    val recent: List<AcceptedChange> = emptyList(),
+)
+
+/**
+ * One accepted change.
+ *
+ * @property request digest of the request that asked for the change, so that a repeat after a lost reply is recognised.
+ * @property names what changed, for operators who lost a race against it.
+ * @property dropped keys of the pieces that this change replaced.
+ */
+@Serializable
+data class AcceptedChange(
     val generation: Long,
-    val chunks: List<String>,
+    val request: String,
+    val names: List<String>,
+    val dropped: List<String> = emptyList(),
+)
+
+/** Part of one organisation's configuration. */
+@Serializable
+data class ConfigurationPiece(
+    val organisation: String,
+    val content: OrganisationConfiguration,
+)
+
+/**
+ * Objects of one publication.
+ *
+ * @property written pieces and index to write before the head, by key.
+ * @property expired keys of pieces that no recent generation uses.
+ */
+class EncodedConfiguration(
+    val head: ConfigurationHead,
+    val index: ConfigurationIndex,
+    val written: Map<String, String>,
+    val expired: List<String>,
 )
 
-/** Text of [configuration] split into chunks that fit into one object each. */
-fun encodeChunks(configuration: Configuration, chunkLength: Int = CHUNK_LENGTH): List<String> =
-    Json.encodeToString(configuration).chunked(chunkLength)
+/** Objects that publish [after] as the successor of the generation of [before]. */
+fun encodeConfiguration(
+    after: Configuration,
+    before: ConfigurationIndex,
+    request: String,
+    names: List<String>,
+): EncodedConfiguration {
+    val known = before.pieces.associateBy { it.substringAfterLast('-') }
+    val written = linkedMapOf<String, String>()
+    val pieces = piecesOf(after).map { piece ->
+        val text = Json.encodeToString(piece)
+        val hash = hashOf(text)
+        // The generation keeps the key from ever naming a piece that is being deleted.
+        known[hash] ?: "$PIECE_PREFIX${after.generation}-$hash".also { written[it] = text }
+    }
+    val change = AcceptedChange(after.generation, request, names, dropped = before.pieces - pieces.toSet())
+    val recent = before.recent + change
+    val index = ConfigurationIndex(after.generation, pieces, after.serviceState, recent.takeLast(RECENT_CHANGES))
+    val indexText = Json.encodeToString(index)
+    val indexKey = "$INDEX_PREFIX${after.generation}-${hashOf(indexText)}"
+    written[indexKey] = indexText
+    val expired = recent.dropLast(RECENT_CHANGES).flatMap { it.dropped } - pieces.toSet()
+    return EncodedConfiguration(ConfigurationHead(after.generation, indexKey), index, written, expired)
+}
+
+/** Whether [text] is the content that [key] names; a mismatch means a damaged object. */
+fun isContentOf(key: String, text: String): Boolean = key.substringAfterLast('-') == hashOf(text)
+
+/** Configuration of [index] from the texts of its pieces. */
+fun decodeConfiguration(index: ConfigurationIndex, pieces: List<ConfigurationPiece>): Configuration {
+    val organisations = pieces.groupBy { it.organisation }.mapValues { (_, parts) ->
+        OrganisationConfiguration(
+            accounts = parts.map { it.content.accounts }.merged(),
+            keys = parts.map { it.content.keys }.merged(),
+            deployments = parts.map { it.content.deployments }.merged(),
+            routes = parts.map { it.content.routes }.merged(),
+        )
+    }
+    return Configuration(index.generation, organisations, index.serviceState)
+}
+
+private fun piecesOf(configuration: Configuration): List<ConfigurationPiece> =
+    configuration.organisations.toSortedMap().flatMap { (organisation, content) ->
+        val parts = split(content.accounts) { OrganisationConfiguration(accounts = it) } +
+            split(content.keys) { OrganisationConfiguration(keys = it) } +
+            split(content.deployments) { OrganisationConfiguration(deployments = it) } +
+            split(content.routes) { OrganisationConfiguration(routes = it) }
+        parts.map { ConfigurationPiece(organisation, it) }
+    }
+
+/** Groups of about [ITEMS_PER_PIECE] items. The number of groups is a power of two, so that it seldom changes. */
+private fun <T> split(
+    items: Map<String, T>,
+    wrap: (Map<String, T>) -> OrganisationConfiguration,
+): List<OrganisationConfiguration> {
+    val groups = (items.size / ITEMS_PER_PIECE).coerceAtLeast(1).takeHighestOneBit()
+    return items.entries.groupBy { shardOf(it.key, groups) }.toSortedMap().values.map { group ->
+        wrap(group.associate { it.key to it.value }.toSortedMap())
+    }
+}
+
+private fun <T> List<Map<String, T>>.merged(): Map<String, T> = fold(emptyMap()) { all, part -> all + part }
+
+private fun hashOf(text: String): String =
+    Hashing.sha256().hashString(text, Charsets.UTF_8).toString().take(HASH_DIGITS)
 
-/** Configuration from the text of its chunks. */
-fun decodeChunks(chunks: List<String>): Configuration = Json.decodeFromString(chunks.joinToString(""))
+/** Digest that identifies the text of a request. */
+fun requestDigest(text: String): String = hashOf(text)
 
-/** Key of chunk [index] of one publication; [nonce] keeps racing publications of a generation apart. */
-fun chunkKey(generation: Long, nonce: String, index: Int): String = "config/chunks/$generation-$nonce/$index"
+private const val PIECE_PREFIX = "config/pieces/"
+private const val INDEX_PREFIX = "config/index/"
+private const val HASH_DIGITS = 32
+private const val ITEMS_PER_PIECE = 32
 
-/** Characters a chunk; a quarter of an object's limit, since a character takes up to 4 bytes in UTF-8. */
-private const val CHUNK_LENGTH = 250_000
+/** Changes that a repeated request is compared with; 32 are 5 minutes at 9,000 changes a day. */
+private const val RECENT_CHANGES = 32
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -5,6 +5,7 @@
 import io.jasmineford.core.address.AddressAnswer
 import io.jasmineford.core.address.chooseAddresses
 import io.jasmineford.core.config.ConfigurationHolder
+import io.jasmineford.core.config.FleetMember
 import io.jasmineford.core.key.digestOfKey
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
@@ -24,8 +25,7 @@
 import io.jasmineford.daemon.caller.CallerPort
 import io.jasmineford.daemon.caller.KeyGuard
 import io.jasmineford.daemon.caller.callerModule
-import io.jasmineford.daemon.control.ConfigurationDriver
-import io.jasmineford.daemon.control.ConfigurationPublisher
+import io.jasmineford.daemon.control.ConfigurationControl
 import io.jasmineford.daemon.control.MembershipDriver
 import io.jasmineford.daemon.control.ShardKeeper
 import io.jasmineford.daemon.operator.DaemonStatus
@@ -35,10 +35,15 @@
 import io.jasmineford.daemon.peer.PeerClients
 import io.jasmineford.daemon.peer.PeerPort
 import io.jasmineford.daemon.peer.PeerService
+import io.jasmineford.daemon.peer.exchange
 import io.jasmineford.daemon.peer.peerServer
+import io.jasmineford.daemon.peer.toMember
+import io.jasmineford.daemon.peer.toMessage
+import io.jasmineford.daemon.peer.toView
 import io.jasmineford.daemon.settings.EntrySettings
 import io.jasmineford.daemon.settings.journal
 import io.jasmineford.daemon.settings.membership
+import io.jasmineford.daemon.settings.synchronisation
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.store.ObjectStore
 import io.ktor.client.HttpClient
@@ -47,6 +52,7 @@
 import io.ktor.server.application.Application
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -83,17 +89,7 @@
     private val queue = EndpointQueue(CallScheduler(clock), control)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
     private val guard = KeyGuard(control, holder)
-    private val configuration = ConfigurationDriver(
-        scope = scope,
-        store = store,
-        holder = holder,
-        clock = clock,
-        pollEvery = settings.configurationPollMs.milliseconds,
-        onChange = {
-            queue.configurationChanged(it)
-            guard.configurationChanged(it)
-        },
-    )
+    private val configuration = CompletableDeferred<ConfigurationControl>()
     private var isLeaving = false
     private var isClosed = false
     private lateinit var membership: Membership
@@ -188,10 +184,32 @@
         )
         driver.start()
         keeper.start()
-        configuration.start()
+        startConfiguration(identity)
         queue.start(scope)
     }
 
+    private fun startConfiguration(identity: VmIdentity) {
+        val self = FleetMember(settings.vm, settings.zone, identity.peerAddress)
+        val started = ConfigurationControl(
+            self = self,
+            settings = settings.synchronisation(),
+            scope = scope,
+            control = control,
+            store = store,
+            clock = clock,
+            holder = holder,
+            membership = membership,
+            exchange = { peer, view -> peers.exchange(self, peer, view) },
+            nonces = nonces,
+            onChange = {
+                queue.configurationChanged(it)
+                guard.configurationChanged(it)
+            },
+        )
+        started.driver.start()
+        configuration.complete(started)
+    }
+
     private fun callerPort() = CallerPort(
         vm = settings.vm,
         zone = settings.zone,
@@ -208,7 +226,7 @@
     )
 
     private fun operatorPort() = OperatorPort(
-        publisher = ConfigurationPublisher(store, nonces),
+        publish = { configuration.await().publisher.publish(it) },
         status = { withContext(control) { status() } },
         configuration = { withContext(control) { holder.current } },
         isReady = { isReady() },
@@ -220,6 +238,11 @@
         clock = clock,
         handle = { guard.guard(it, router::handle) },
         probe = { withContext(control) { probe() } },
+        announced = { request ->
+            val driver = configuration.await().driver
+            val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
+            view.toMessage(FleetMember(settings.vm, settings.zone))
+        },
     )
 
     private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationDriver.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationDriver.kt
@@ -1,62 +1,129 @@
 package io.jasmineford.daemon.control
 
+import com.github.michaelbull.result.fold
 import com.github.michaelbull.result.get
-import com.github.michaelbull.result.onSuccess
+import com.github.michaelbull.result.map
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.jasmineford.core.config.CONFIGURATION_HEAD_KEY
 import io.jasmineford.core.config.Configuration
 import io.jasmineford.core.config.ConfigurationHead
-import io.jasmineford.core.config.ConfigurationHolder
-import io.jasmineford.core.config.decodeChunks
-import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.core.config.ConfigurationSync
+import io.jasmineford.core.config.FleetMember
+import io.jasmineford.core.config.PeerView
+import io.jasmineford.core.config.SyncAction
 import io.jasmineford.daemon.event
+import io.jasmineford.daemon.warnEvent
 import io.jasmineford.store.ObjectStore
 import io.jasmineford.store.StoredObject
+import io.jasmineford.store.describe
+import io.jasmineford.store.storeJson
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.json.Json
-import kotlin.time.Duration
+import kotlinx.io.IOException
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
-/** Reads the configuration's head at intervals and takes newer generations into force. */
+/** Exchanges views with a peer; null when it doesn't reply. */
+typealias ViewExchange = suspend (peer: FleetMember, view: PeerView) -> PeerView?
+
+/**
+ * Makes the store calls and peer calls of [ConfigurationSync]. All functions run on the control thread.
+ *
+ * @param incarnation incarnation of this VM's lease.
+ * @param onChange takes each configuration that came into force.
+ */
 class ConfigurationDriver(
     private val scope: CoroutineScope,
     private val store: ObjectStore,
-    private val holder: ConfigurationHolder,
-    private val clock: MonotonicClock,
-    private val pollEvery: Duration,
+    private val sync: ConfigurationSync,
+    private val exchange: ViewExchange,
+    private val incarnation: () -> Long,
     private val onChange: (Configuration) -> Unit,
 ) {
-    /** Polls until the scope is cancelled. */
+    private val reader = ConfigurationReader(store)
+    private var watch: Job? = null
+
+    /** Polls the state machine until the scope is cancelled. */
     fun start() = scope.launch {
         while (true) {
-            refresh()
-            delay(pollEvery)
+            perform(sync.poll())
+            keepWatch()
+            delay(POLL_INTERVAL)
         }
     }
 
-    /** Reads the head once. */
-    suspend fun refresh() {
-        val askedAt = clock.now()
-        store.get(CONFIGURATION_HEAD_KEY).onSuccess { stored ->
-            val head = stored?.let(::decodeHead) ?: ConfigurationHead(generation = 0, chunks = emptyList())
-            if (head.generation > holder.current.generation) load(head)
-            holder.prove(head.generation, askedAt)
-        }
+    /** Answers the view of a peer. */
+    fun answer(from: FleetMember, view: PeerView): PeerView {
+        val (own, actions) = sync.answer(from, view)
+        perform(actions)
+        return own
+    }
+
+    /** Starts [actions]; their replies go to the state machine. */
+    fun perform(actions: List<SyncAction>) {
+        actions.forEach { action -> scope.launch { perform(action) } }
+    }
+
+    private suspend fun perform(action: SyncAction) {
+            when (action) {
+                is SyncAction.ReadHead -> perform(sync.onHead(action.askedAt, readHead()))
+                is SyncAction.Load -> load(action)
+                is SyncAction.ListMembers -> listMembers(action)
+                is SyncAction.Exchange -> perform(sync.onReply(action, exchange(action.peer, action.view)))
+            }
+    }
+
+    private suspend fun readHead(): ConfigurationHead? =
+        store.get(CONFIGURATION_HEAD_KEY).map { it?.let(::decodeHead) ?: ConfigurationHead() }.get()
+
+    private suspend fun load(action: SyncAction.Load) {
+        reader.read(action.head).fold(
+            success = {
+                val before = sync.generation
+                val actions = sync.onLoaded(it.configuration)
+                if (sync.generation > before) {
+                    log.event("configuration_in_force", "generation" to sync.generation)
+                    onChange(it.configuration)
+                }
+                perform(actions)
+            },
+            failure = {
+                log.warnEvent("configuration_unreadable", "generation" to action.head.generation, "problem" to it.describe())
+            },
+        )
+    }
+
+    private suspend fun listMembers(action: SyncAction.ListMembers) {
+        val leases = readLeases(store).get() ?: return
+        sync.onMembers(action.askedAt, leases.filter { !it.isRevoked }.map { it.toMember() }, incarnation())
+    }
+
+    private fun keepWatch() {
+        val isWanted = sync.isWatcher()
+        if (isWanted && watch?.isActive != true) watch = scope.launch { watchHead() }
+        if (!isWanted) watch?.cancel()
     }
 
-    private suspend fun load(head: ConfigurationHead) {
-        val chunks = head.chunks.map { store.get(it).get()?.value ?: return }
-        val configuration = decodeChunks(chunks)
-        if (holder.offer(configuration)) {
-            log.event("configuration_in_force", "generation" to configuration.generation)
-            onChange(configuration)
+    /** The watch only speeds up the news; a watch that shows old changes or none does no harm. */
+    private suspend fun watchHead() {
+        val revision = store.list(CONFIGURATION_HEAD_KEY, limit = 1).get()?.revision
+        if (revision != null) {
+            try {
+                store.watch(CONFIGURATION_HEAD_KEY, revision).collect { perform(sync.onHint(decodeHead(it.changed))) }
+            } catch (e: IOException) {
+                log.warnEvent("configuration_watch_broken", "problem" to e.message)
+            }
         }
+        delay(WATCH_RETRY)
     }
 
-    private fun decodeHead(stored: StoredObject): ConfigurationHead = Json.decodeFromString(stored.value)
+    private fun decodeHead(stored: StoredObject): ConfigurationHead = storeJson.decodeFromString(stored.value)
 
     private companion object {
         val log = KotlinLogging.logger {}
+        val POLL_INTERVAL = 20.milliseconds
+        val WATCH_RETRY = 1.seconds
     }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationPublisher.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationPublisher.kt
@@ -3,88 +3,134 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.flatMap
-import com.github.michaelbull.result.fold
-import com.github.michaelbull.result.map
-import com.github.michaelbull.result.mapError
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import io.jasmineford.core.config.AcceptedChange
 import io.jasmineford.core.config.CONFIGURATION_HEAD_KEY
 import io.jasmineford.core.config.Configuration
 import io.jasmineford.core.config.ConfigurationHead
 import io.jasmineford.core.config.ReleaseError
-import io.jasmineford.core.config.chunkKey
-import io.jasmineford.core.config.decodeChunks
-import io.jasmineford.core.config.encodeChunks
+import io.jasmineford.core.config.changedNames
+import io.jasmineford.core.config.encodeConfiguration
 import io.jasmineford.store.ABSENT_VERSION
 import io.jasmineford.store.ObjectStore
 import io.jasmineford.store.StoreError
 import io.jasmineford.store.StoredObject
 import io.jasmineford.store.describe
 import io.jasmineford.store.putOnce
-import kotlinx.serialization.json.Json
+import io.jasmineford.store.storeJson
 
 /** Why a publication was not accepted. */
 sealed interface PublishError {
     /** The note has faults; nothing changed. */
     data class Rejected(val errors: List<ReleaseError>) : PublishError
 
-    /** Another publication won; nothing of this one is in force. */
-    data class LostRace(val current: Long) : PublishError
+    /** Another publication won; nothing of this one is in force. [names] tells what changed meanwhile. */
+    data class LostRace(val current: Long, val names: List<String>) : PublishError
 
-    /** The store did not answer; whether the change took effect is not known. */
+    /** This VM may not publish now; nothing changed. */
+    data class NotEntitled(val reason: String) : PublishError
+
+    /** The store did not answer before anything was put into force; nothing changed. */
     data class Unavailable(val reason: String) : PublishError
+
+    /** The store did not confirm the change; repeating the request tells whether it took effect. */
+    data class Unknown(val reason: String) : PublishError
 }
 
 /** Change of a configuration: the new one, or every fault. */
 typealias ConfigurationChange = (Configuration) -> Result<Configuration, List<ReleaseError>>
 
-/** Publishes configurations: immutable chunks first, then one conditional update of the head. */
+/**
+ * A change that an operator asks for.
+ *
+ * @property digest identifies the request, so that a repeat after a lost reply learns the truth.
+ * @property buildsOn generation that the operator saw; null for a change that fits every generation.
+ */
+class PublishRequest(
+    val digest: String,
+    val buildsOn: Long?,
+    val change: ConfigurationChange,
+)
+
+/** Publishes configurations: immutable pieces and the index first, then one conditional update of the head. */
 class ConfigurationPublisher(
     private val store: ObjectStore,
     private val nonces: () -> String,
+    private val right: PublishingRight,
+    private val headWriter: HeadWriter,
 ) {
-    /** Applies [change] to the newest configuration and returns the configuration that is now in force. */
-    suspend fun publish(change: ConfigurationChange): Result<Configuration, PublishError> {
-        val head = store.get(CONFIGURATION_HEAD_KEY).mapError(::unavailable)
-        return head.flatMap { stored ->
-            read(stored).flatMap { current ->
-                change(current).mapError { PublishError.Rejected(it) }.flatMap { write(it, stored) }
-            }
+    private val reader = ConfigurationReader(store)
+
+    /** Applies [request] and returns the generation with which it came into force. */
+    suspend fun publish(request: PublishRequest): Result<Long, PublishError> {
+        repeat(MAX_ATTEMPTS) {
+            attempt(request)?.let { return it }
         }
+        return Err(PublishError.LostRace(current = 0, names = listOf("too many changes at once")))
     }
 
-    private suspend fun read(stored: StoredObject?): Result<Configuration, PublishError> {
-        if (stored == null) return Ok(Configuration())
-        val head = Json.decodeFromString<ConfigurationHead>(stored.value)
-        val chunks = mutableListOf<String>()
-        for (key in head.chunks) {
-            val chunk = store.get(key).fold(
-                success = { it ?: return Err(PublishError.Unavailable("chunk $key is missing")) },
-                failure = { return Err(unavailable(it)) },
-            )
-            chunks += chunk.value
+    /** One attempt; null when another publication won and a new attempt tells more. */
+    private suspend fun attempt(request: PublishRequest): Result<Long, PublishError>? {
+        val stored = store.get(CONFIGURATION_HEAD_KEY).getOrElse { return Err(PublishError.Unavailable(it.describe())) }
+        val head = stored?.let { storeJson.decodeFromString<ConfigurationHead>(it.value) } ?: ConfigurationHead()
+        val before = reader.read(head).getOrElse { return Err(PublishError.Unavailable(it.describe())) }
+        before.index.recent.firstOrNull { it.request == request.digest }?.let { return Ok(it.generation) }
+        if (request.buildsOn != null && request.buildsOn < head.generation) {
+            return Err(PublishError.LostRace(head.generation, namesSince(request.buildsOn, before.index.recent)))
         }
-        return Ok(decodeChunks(chunks))
+        val after = request.change(before.configuration).getOrElse { return Err(PublishError.Rejected(it)) }
+        val names = changedNames(before.configuration, after)
+        if (names.isEmpty()) return Ok(head.generation)
+        right.acquire()?.let { return Err(PublishError.NotEntitled(it)) }
+        return write(request, before, stored, after, names)
     }
 
-    private suspend fun write(after: Configuration, stored: StoredObject?): Result<Configuration, PublishError> {
-        val nonce = nonces()
-        val keys = mutableListOf<String>()
-        for ((index, text) in encodeChunks(after).withIndex()) {
-            val key = chunkKey(after.generation, nonce, index)
-            val written = store.putOnce(key, text, ABSENT_VERSION, nonces())
-            if (written.isErr) return written.map { after }.mapError(::unavailable)
-            keys += key
+    private suspend fun write(
+        request: PublishRequest,
+        before: StoredConfiguration,
+        stored: StoredObject?,
+        after: Configuration,
+        names: List<String>,
+    ): Result<Long, PublishError>? {
+        val encoded = encodeConfiguration(after, before.index, request.digest, shortened(names))
+        for ((key, text) in encoded.written) {
+            createOnce(key, text)?.let { return Err(PublishError.Unavailable(it.describe())) }
+        }
+        val outcome = headWriter.write(encoded.head, stored?.version ?: ABSENT_VERSION)
+        return when (outcome) {
+            HeadOutcome.Accepted -> Ok(after.generation).also { encoded.expired.forEach { key -> remove(key) } }
+            HeadOutcome.Lost -> null
+            HeadOutcome.NotSent -> Err(PublishError.NotEntitled("this VM's lease ended before the change was written"))
+            is HeadOutcome.Unknown -> Err(PublishError.Unknown(outcome.reason))
         }
-        val head = Json.encodeToString(ConfigurationHead(after.generation, keys))
-        return store.putOnce(CONFIGURATION_HEAD_KEY, head, stored?.version ?: ABSENT_VERSION, nonce)
-            .map { after }
-            .mapError { error -> if (error is StoreError.Conflict) lostRace(error) else unavailable(error) }
     }
 
-    private fun lostRace(error: StoreError.Conflict): PublishError {
-        val head = error.current?.let { Json.decodeFromString<ConfigurationHead>(it.value) }
-        return PublishError.LostRace(head?.generation ?: 0)
+    /** Creates an immutable object; one that exists already has the same content, since its key names the content. */
+    private suspend fun createOnce(key: String, text: String): StoreError? {
+        val error = store.putOnce(key, text, ABSENT_VERSION, nonces()).getError()
+        return error.takeUnless { it is StoreError.Conflict && it.current?.value == text }
     }
 
-    private fun unavailable(error: StoreError): PublishError = PublishError.Unavailable(error.describe())
+    /** Removes an object that no recent generation uses. An error leaves it behind, which costs only space. */
+    private suspend fun remove(key: String) {
+        val stored = store.get(key).get() ?: return
+        store.delete(key, stored.version)
+    }
+
+    private fun namesSince(generation: Long, recent: List<AcceptedChange>): List<String> {
+        val later = recent.filter { it.generation > generation }
+        val names = later.flatMap { it.names }.distinct()
+        val isWhole = later.firstOrNull()?.generation == generation + 1
+        return if (isWhole) names else names + "changes up to generation ${later.firstOrNull()?.generation?.dec() ?: 0}"
+    }
+
+    private fun shortened(names: List<String>): List<String> =
+        if (names.size <= MAX_NAMES) names else names.take(MAX_NAMES) + "${names.size - MAX_NAMES} more"
+
+    private companion object {
+        const val MAX_ATTEMPTS = 5
+        const val MAX_NAMES = 20
+    }
 }
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationReader.kt
@@ -0,0 +1,55 @@
+package io.jasmineford.daemon.control
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
+import io.jasmineford.core.config.Configuration
+import io.jasmineford.core.config.ConfigurationHead
+import io.jasmineford.core.config.ConfigurationIndex
+import io.jasmineford.core.config.ConfigurationPiece
+import io.jasmineford.core.config.decodeConfiguration
+import io.jasmineford.core.config.isContentOf
+import io.jasmineford.store.ObjectStore
+import io.jasmineford.store.StoreError
+import io.jasmineford.store.storeJson
+
+/** One generation as read from the store. */
+data class StoredConfiguration(
+    val index: ConfigurationIndex,
+    val configuration: Configuration,
+)
+
+/** Reads configurations. Pieces that the generation before already had are not read again. */
+class ConfigurationReader(private val store: ObjectStore) {
+    private var held = emptyMap<String, ConfigurationPiece>()
+
+    /** The configuration of [head]; all of it or an error. */
+    suspend fun read(head: ConfigurationHead): Result<StoredConfiguration, StoreError> {
+        if (head.index.isEmpty()) return Ok(StoredConfiguration(ConfigurationIndex(), Configuration()))
+        return content(head.index).flatMap { text ->
+            val index = storeJson.decodeFromString<ConfigurationIndex>(text)
+            pieces(index).map { StoredConfiguration(index, decodeConfiguration(index, it)) }
+        }
+    }
+
+    private suspend fun pieces(index: ConfigurationIndex): Result<List<ConfigurationPiece>, StoreError> {
+        val known = held
+        val read = linkedMapOf<String, ConfigurationPiece>()
+        for (key in index.pieces) {
+            read[key] = known[key] ?: storeJson.decodeFromString(content(key).getOrElse { return Err(it) })
+        }
+        held = read
+        return Ok(read.values.toList())
+    }
+
+    private suspend fun content(key: String): Result<String, StoreError> = store.get(key).flatMap { stored ->
+        when {
+            stored == null -> Err(StoreError.Unavailable("object $key is missing"))
+            !isContentOf(key, stored.value) -> Err(StoreError.Unavailable("object $key is damaged"))
+            else -> Ok(stored.value)
+        }
+    }
+}
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/HeadWriter.kt
@@ -0,0 +1,101 @@
+package io.jasmineford.daemon.control
+
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.jasmineford.core.config.CONFIGURATION_HEAD_KEY
+import io.jasmineford.core.config.ConfigurationHead
+import io.jasmineford.core.config.SyncAction
+import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.daemon.warnEvent
+import io.jasmineford.store.ObjectStore
+import io.jasmineford.store.StoreError
+import io.jasmineford.store.acceptOwnWrite
+import io.jasmineford.store.describe
+import io.jasmineford.store.storeJson
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What became of a write of the head. */
+sealed interface HeadOutcome {
+    /** It took effect. */
+    data object Accepted : HeadOutcome
+
+    /** Another write took effect before it. */
+    data object Lost : HeadOutcome
+
+    /** It was not sent. */
+    data object NotSent : HeadOutcome
+
+    /** It may or may not have taken effect, or may still do so. */
+    data class Unknown(val reason: String) : HeadOutcome
+}
+
+/**
+ * Writes the head. While the outcome of a write isn't known, this VM states to others that it has a publication under way.
+ *
+ * @param writeLateness longest time after which a write may still take effect that this VM gave up.
+ */
+class HeadWriter(
+    private val scope: CoroutineScope,
+    private val store: ObjectStore,
+    private val clock: MonotonicClock,
+    private val right: PublishingRight,
+    private val nonces: () -> String,
+    private val perform: (List<SyncAction>) -> Unit,
+    private val writeLateness: Duration,
+) {
+    /** Writes [head] over the stored version [expectedVersion]. */
+    suspend fun write(head: ConfigurationHead, expectedVersion: Long): HeadOutcome = withContext(NonCancellable) {
+        if (!right.begin()) return@withContext HeadOutcome.NotSent
+        val outcome = attempts(head, expectedVersion, nonces())
+        when (outcome) {
+            HeadOutcome.Accepted -> right.end(head, perform)
+            is HeadOutcome.Unknown -> scope.launch { settle(expectedVersion) }
+            else -> right.end(null, perform)
+        }
+        outcome
+    }
+
+    private suspend fun attempts(head: ConfigurationHead, expectedVersion: Long, nonce: String): HeadOutcome {
+        var last: HeadOutcome = HeadOutcome.NotSent
+        repeat(ATTEMPTS) {
+            if (!right.isLeaseValid()) return last
+            val reply = store.put(CONFIGURATION_HEAD_KEY, storeJson.encodeToString(head), expectedVersion, nonce)
+            last = acceptOwnWrite(reply, nonce).fold(
+                success = { HeadOutcome.Accepted },
+                failure = { if (it is StoreError.Unavailable) HeadOutcome.Unknown(it.describe()) else HeadOutcome.Lost },
+            )
+            if (last !is HeadOutcome.Unknown) return last
+        }
+        return last
+    }
+
+    /** Waits until the write of which no reply came can't take effect any more, or did. */
+    private suspend fun settle(expectedVersion: Long) {
+        val givenUpAt = clock.now()
+        log.warnEvent("publication_outcome_unknown", "version" to expectedVersion)
+        while (true) {
+            val askedAt = clock.now()
+            val reply = store.get(CONFIGURATION_HEAD_KEY)
+            val stored = reply.get()
+            val isReplaced = reply.isOk && (stored?.version ?: 0) != expectedVersion
+            if (isReplaced || (reply.isOk && askedAt - givenUpAt >= writeLateness)) {
+                val head = stored?.let { storeJson.decodeFromString<ConfigurationHead>(it.value) }
+                return right.end(head, perform)
+            }
+            delay(SETTLE_POLL)
+        }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        val SETTLE_POLL = 200.milliseconds
+        const val ATTEMPTS = 3
+    }
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/operator/OperatorServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/operator/OperatorServer.kt
@@ -12,9 +12,9 @@
 import io.jasmineford.core.config.checkReleaseNote
 import io.jasmineford.core.config.parseReleaseNote
 import io.jasmineford.core.objective.CallCount
-import io.jasmineford.daemon.control.ConfigurationChange
-import io.jasmineford.daemon.control.ConfigurationPublisher
+import io.jasmineford.core.config.requestDigest
 import io.jasmineford.daemon.control.PublishError
+import io.jasmineford.daemon.control.PublishRequest
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.Application
@@ -27,6 +27,7 @@
 import io.ktor.server.routing.routing
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import java.util.UUID
 
 /**
  * State of one daemon for operators.
@@ -68,7 +69,7 @@
 
 /** What the operator port needs from the daemon. */
 internal class OperatorPort(
-    val publisher: ConfigurationPublisher,
+    val publish: suspend (PublishRequest) -> Result<Long, PublishError>,
     val status: suspend () -> DaemonStatus,
     val configuration: suspend () -> Configuration,
     val isReady: suspend () -> Boolean,
@@ -91,32 +92,33 @@
             call.respondText(Json.encodeToString(port.configuration()), ContentType.Application.Json)
         }
         get("/objectives") { call.respondText(Json.encodeToString(port.counts()), ContentType.Application.Json) }
-        changeRoutes(port.publisher)
+        changeRoutes(port)
     }
 }
 
-private fun Routing.changeRoutes(publisher: ConfigurationPublisher) {
+private fun Routing.changeRoutes(port: OperatorPort) {
     post("/release") {
         val text = call.receiveText()
-        call.respondPublished(publisher.publish { current -> releaseChange(text, current) })
+        val result = parseReleaseNote(text).mapError { PublishError.Rejected(listOf(it)) }.flatMap { note ->
+            port.publish(PublishRequest(requestDigest(text), note.buildsOn) { checkReleaseNote(note, it) })
+        }
+        call.respondPublished(result)
     }
     post("/zones/{name}/{direction}") {
         val name = call.parameters["name"].orEmpty()
-        call.respondPublished(publisher.publish(serviceChange(call) { copy(zonesOut = zonesOut.with(name, it)) }))
+        call.respondPublished(port.publish(serviceChange(call) { copy(zonesOut = zonesOut.with(name, it)) }))
     }
     post("/vms/{name}/{direction}") {
         val name = call.parameters["name"].orEmpty()
-        call.respondPublished(publisher.publish(serviceChange(call) { copy(vmsOut = vmsOut.with(name, it)) }))
+        call.respondPublished(port.publish(serviceChange(call) { copy(vmsOut = vmsOut.with(name, it)) }))
     }
 }
 
-private fun releaseChange(text: String, current: Configuration): Result<Configuration, List<ReleaseError>> =
-    parseReleaseNote(text).mapError { listOf(it) }.flatMap { checkReleaseNote(it, current) }
-
+/** Taking out and putting back fit every generation, so a lost race is repeated instead of told. */
 private fun serviceChange(
     call: ApplicationCall,
     change: ServiceState.(isOut: Boolean) -> ServiceState,
-): ConfigurationChange = { current ->
+): PublishRequest = PublishRequest(digest = UUID.randomUUID().toString(), buildsOn = null) { current ->
     val direction = call.parameters["direction"]
     if (direction == "in" || direction == "out") {
         val after = current.serviceState.change(direction == "out")
@@ -128,25 +130,28 @@
 
 private fun Set<String>.with(name: String, isOut: Boolean): Set<String> = if (isOut) this + name else this - name
 
-private suspend fun ApplicationCall.respondPublished(result: Result<Configuration, PublishError>) {
+private suspend fun ApplicationCall.respondPublished(result: Result<Long, PublishError>) {
     val (status, reply) = result.fold(
-        success = { HttpStatusCode.OK to PublishReply(isAccepted = true, generation = it.generation) },
-        failure = { error ->
-            when (error) {
-                is PublishError.Rejected ->
-                    HttpStatusCode.UnprocessableEntity to
-                        PublishReply(isAccepted = false, errors = error.errors.map { it.toString() })
+        success = { HttpStatusCode.OK to PublishReply(isAccepted = true, generation = it) },
+        failure = { it.toReply() },
+    )
+    respondText(Json.encodeToString(reply), ContentType.Application.Json, status)
+}
 
-                is PublishError.LostRace -> HttpStatusCode.Conflict to PublishReply(
-                    isAccepted = false,
-                    generation = error.current,
-                    errors = listOf("another change won: generation ${error.current} is in force"),
-                )
+private fun PublishError.toReply(): Pair<HttpStatusCode, PublishReply> = when (this) {
+    is PublishError.Rejected -> HttpStatusCode.UnprocessableEntity to refusal(errors.map { it.toString() })
 
-                is PublishError.Unavailable ->
-                    HttpStatusCode.ServiceUnavailable to PublishReply(isAccepted = false, errors = listOf(error.reason))
-            }
-        },
+    is PublishError.LostRace -> HttpStatusCode.Conflict to PublishReply(
+        isAccepted = false,
+        generation = current,
+        errors = listOf("another change won: generation $current is in force") + names.map { "changed meanwhile: $it" },
     )
-    respondText(Json.encodeToString(reply), ContentType.Application.Json, status)
+
+    is PublishError.NotEntitled -> HttpStatusCode.ServiceUnavailable to refusal(listOf("nothing changed: $reason"))
+    is PublishError.Unavailable -> HttpStatusCode.ServiceUnavailable to refusal(listOf("nothing changed: $reason"))
+
+    is PublishError.Unknown -> HttpStatusCode.ServiceUnavailable to
+        refusal(listOf("the change may have taken effect; repeat the same request to learn whether it did: $reason"))
 }
+
+private fun refusal(errors: List<String>) = PublishReply(isAccepted = false, errors = errors)
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
@@ -5,6 +5,7 @@
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.call.Call
 import io.jasmineford.protocol.ForwardedCall
+import io.jasmineford.protocol.Generation
 import io.jasmineford.protocol.PeerGrpcKt
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.protocol.ProbeRequest
@@ -19,6 +20,7 @@
     val clock: MonotonicClock,
     val handle: (Call) -> Flow<Event>,
     val probe: suspend () -> ProbeReply,
+    val announced: suspend (Generation) -> Generation,
 )
 
 /** gRPC service for other daemons. */
@@ -26,6 +28,8 @@
     override fun forwardCall(request: ForwardedCall): Flow<EventMessage> =
         port.handle(request.toCall(port.clock.now())).map { it.toMessage() }
 
+    override suspend fun announceGeneration(request: Generation): Generation = port.announced(request)
+
     override suspend fun probe(request: ProbeRequest): ProbeReply = port.probe()
 }
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.jasmineford.core.config.SyncSettings
 import io.jasmineford.core.lease.MembershipSettings
 import io.jasmineford.core.program.JournalSettings
 import kotlinx.serialization.Serializable
@@ -97,6 +98,16 @@
     shards = shards,
 )
 
+/** Times of configuration distribution. */
+fun EntrySettings.synchronisation(): SyncSettings {
+    val maxProofAge = configurationMaxProofAgeMs.milliseconds
+    return SyncSettings(
+        maxProofAge = maxProofAge,
+        readEvery = minOf(configurationPollMs.milliseconds, maxProofAge / READS_A_PROOF),
+        writeLateness = storeTimeoutMs.milliseconds * STORE_TIMEOUTS_OF_LATENESS,
+    )
+}
+
 /** Times of group commit. */
 fun EntrySettings.journal(): JournalSettings = JournalSettings(linger = journalLingerMs.milliseconds)
 
@@ -117,6 +128,10 @@
     if (value !in range) add(SettingsError(key, "expected ${range.first} to ${range.last}, actual $value"))
 }
 
+private const val READS_A_PROOF = 4
+
+/** A request that the store accepted may take effect some timeouts after its sender gave up. */
+private const val STORE_TIMEOUTS_OF_LATENESS = 5
 private val NAME_PATTERN = Regex("[A-Za-z0-9.-]{1,63}")
 private val PORTS = 0L..65_535L
 private val LEASE_MS = 10L..600_000L
