Order calls by fair shares and attained service and place them by cached prefix

Cause: calls ran in order of arrival at the least loaded endpoint, so that histories were computed again at each turn. Change: CallScheduler keeps virtual token counters between accounts, least attained service within an account, an age bound, two priorities, beliefs about engine caches and a placement by cost.

--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
@@ -1,4 +1,6 @@
 package io.jasmineford.bench
 
+import io.jasmineford.bench.endpoint.placementScenarios
+
 /** All scenarios, in the order in which `bench run --all` runs them. */
-val scenarios: List<Scenario> = emptyList()
+val scenarios: List<Scenario> = placementScenarios.dropLast(1)
--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/OfflineReplay.kt
@@ -0,0 +1,60 @@
+package io.jasmineford.bench.endpoint
+
+import io.jasmineford.core.program.ProgramId
+import java.util.TreeSet
+
+/**
+ * Prompt tokens computed again when the calls of a run are replayed against one cache with the memory of the whole fleet
+ * that knows the future: it evicts the program whose next call is farthest away, and programs that ended at once (Belady).
+ */
+fun SimulationResult.offlineWaste(): Long {
+    val limit = workload.profile.cacheTokens * workload.endpoints
+    val ordered = calls.sortedBy { it.submittedAt }
+    val uses = ordered.indices.groupBy { ordered[it].program }.mapValues { ArrayDeque(it.value) }
+    val replay = OfflineCache(limit - workload.endpoints * ordered.first().prompt.sharedTokens)
+    return ordered.sumOf { call ->
+        val own = uses.getValue(call.program)
+        own.removeFirst()
+        replay.call(call, own.firstOrNull() ?: Int.MAX_VALUE)
+    }
+}
+
+private class OfflineCache(private val limit: Long) {
+    private val held = HashMap<ProgramId, Held>()
+    private val farthest = TreeSet(compareByDescending<Held> { it.nextUse }.thenBy { "${it.program}" })
+    private var used = 0L
+
+    /** Tokens of the call that had been computed before and are not held. */
+    fun call(call: CallResult, nextUse: Int): Long {
+        val before = held.remove(call.program)?.also { remove(it) }
+        val missing = call.prompt.ownTokens - call.turn.newTokens - (before?.tokens ?: 0)
+        if (nextUse < Int.MAX_VALUE) {
+            val entry = Held(call.program, call.prompt.ownTokens + call.turn.outputTokens, nextUse)
+            held[call.program] = entry
+            farthest += entry
+            used += entry.tokens
+        }
+        makeRoom()
+        return missing.toLong()
+    }
+
+    private fun makeRoom() {
+        while (used > limit) {
+            val entry = farthest.first()
+            val cut = minOf(entry.tokens.toLong(), used - limit).toInt()
+            entry.tokens -= cut
+            used -= cut
+            if (entry.tokens == 0) {
+                held.remove(entry.program)
+                farthest -= entry
+            }
+        }
+    }
+
+    private fun remove(entry: Held) {
+        farthest -= entry
+        used -= entry.tokens
+    }
+
+    private class Held(val program: ProgramId, var tokens: Int, val nextUse: Int)
+}
--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/Workload.kt
@@ -0,0 +1,144 @@
+package io.jasmineford.bench.endpoint
+
+import io.jasmineford.core.config.Priority
+import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.program.ProgramId
+import io.jasmineford.standin.engine.EngineProfile
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * One turn of a program.
+ *
+ * @property newTokens prompt tokens that were in no call before.
+ * @property pauseAfter time of the tool call or of the user until the next turn.
+ * @property subAgents programs that start after this turn; the next turn waits for all of them.
+ */
+data class TurnPlan(
+    val newTokens: Int,
+    val outputTokens: Int,
+    val pauseAfter: Duration,
+    val subAgents: List<ProgramPlan> = emptyList(),
+)
+
+/** A program as it will unfold. Schedulers see only one call after another. */
+data class ProgramPlan(
+    val id: ProgramId,
+    val arrivesAt: Duration,
+    val shared: String,
+    val sharedTokens: Int,
+    val turns: List<TurnPlan>,
+    val priority: Priority = Priority.DRAFT,
+)
+
+/** Programs and the engines that serve them. */
+data class Workload(
+    val name: String,
+    val programs: List<ProgramPlan>,
+    val endpoints: Int = 6,
+    val profile: EngineProfile = EngineProfile(),
+)
+
+/**
+ * Shape of one kind of program; figures are drawn anew for each program and turn.
+ *
+ * @property load offered work as a share of what the fleet does with full batches and a perfect cache.
+ * @property rateAt factor on the arrival rate over the run, from 0 to 1.
+ */
+data class ProgramShape(
+    val organisation: String,
+    val accounts: List<String>,
+    val accountWeight: (Int) -> Double = { 1.0 },
+    val sharedTokens: Int,
+    val turns: IntRange,
+    val firstTokens: IntRange,
+    val newTokens: IntRange,
+    val outputTokens: IntRange,
+    val meanPause: Duration,
+    val subAgentShare: Double = 0.0,
+    val load: Double = 0.8,
+    val length: Duration = 240.seconds,
+    val rateAt: (Double) -> Double = { 1.0 },
+)
+
+/** Draws the programs of [shape] for [endpoints] engines of [profile]; the same seed gives the same programs. */
+fun generate(
+    name: String,
+    shape: ProgramShape,
+    seed: Long,
+    endpoints: Int = 6,
+    profile: EngineProfile = EngineProfile(),
+): Workload {
+    val random = Random(seed)
+    val sample = List(SAMPLE) { shape.program(random, it, Duration.ZERO) }
+    val secondsPerProgram = sample.sumOf { it.engineSeconds(profile) } / SAMPLE
+    val rate = shape.load * endpoints / secondsPerProgram
+    val programs = mutableListOf<ProgramPlan>()
+    var at = Duration.ZERO
+    while (at < shape.length) {
+        val factor = shape.rateAt(at / shape.length)
+        at += exponential(random, 1 / (rate * factor))
+        programs += shape.program(random, programs.size, at)
+    }
+    return Workload(name, programs, endpoints, profile)
+}
+
+/** Engine time of a program in seconds with full batches and a perfect cache. */
+fun ProgramPlan.engineSeconds(profile: EngineProfile): Double {
+    val perOutput = profile.stepBase / profile.maxBatch + profile.stepPerSequence
+    val own = turns.fold(Duration.ZERO) { sum, turn ->
+        sum + profile.prefillPerToken * turn.newTokens + perOutput * turn.outputTokens
+    }
+    return own / 1.seconds + turns.flatMap { it.subAgents }.sumOf { it.engineSeconds(profile) }
+}
+
+private fun ProgramShape.program(random: Random, index: Int, at: Duration): ProgramPlan {
+    val account = ScopedName(organisation, pick(random))
+    val id = ProgramId(account, "p$index")
+    val count = random.nextInt(turns)
+    return ProgramPlan(
+        id = id,
+        arrivesAt = at,
+        shared = "$organisation-system",
+        sharedTokens = sharedTokens,
+        turns = List(count) { turn ->
+            val isParent = turn < count - 1 && random.nextDouble() < subAgentShare
+            turn(random, isFirst = turn == 0).copy(
+                subAgents = if (isParent) List(2) { subAgent(random, id, "$turn-$it") } else emptyList(),
+            )
+        },
+    )
+}
+
+private fun ProgramShape.subAgent(random: Random, parent: ProgramId, name: String) = ProgramPlan(
+    id = parent.copy(name = "${parent.name}/$name"),
+    arrivesAt = Duration.ZERO,
+    shared = "$organisation-system",
+    sharedTokens = sharedTokens,
+    turns = List(2) { turn(random, isFirst = it == 0) },
+)
+
+private fun ProgramShape.turn(random: Random, isFirst: Boolean) = TurnPlan(
+    newTokens = random.nextInt(if (isFirst) firstTokens else newTokens),
+    outputTokens = random.nextInt(outputTokens),
+    pauseAfter = exponential(random, meanPause / 1.seconds),
+)
+
+private fun ProgramShape.pick(random: Random): String {
+    val weights = accounts.indices.map(accountWeight)
+    var rest = random.nextDouble() * weights.sum()
+    val index = weights.indexOfFirst { weight ->
+        rest -= weight
+        rest < 0
+    }
+    return accounts[index.coerceAtLeast(0)]
+}
+
+private fun Random.nextInt(range: IntRange): Int = nextInt(range.first, range.last + 1)
+
+private fun exponential(random: Random, meanSeconds: Double): Duration =
+    (-ln(1 - random.nextDouble()) * meanSeconds).seconds
+
+private const val SAMPLE = 400
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
@@ -1,104 +1,148 @@
 package io.jasmineford.core.schedule
 
 import io.jasmineford.core.config.Endpoint
-import io.jasmineford.core.config.Priority
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.program.ProgramId
+import io.jasmineford.core.program.Usage
 import io.jasmineford.core.time.MonotonicClock
 import kotlin.time.Duration
 
 /**
- * A call that waits for an endpoint.
+ * Decides which waiting call runs next, and where. Engines have no priorities, so that a call is dispatched only when it
+ * can run at once within the endpoint's window.
  *
- * @property id unique on this VM.
- * @property program null for a call outside any program.
- * @property promptTokens estimate of the prompt's tokens, history included.
- * @property deadline on this VM's monotonic clock; the call is expired when it is still waiting then.
- * @property excluded endpoints that must not be tried, by name.
+ * @param weightOf share of an account relative to the others.
+ * @param windowOf calls that this VM may have in flight at an endpoint now.
  */
-data class QueuedCall(
-    val id: Long,
-    val account: ScopedName,
-    val deployment: ScopedName,
-    val program: ProgramId? = null,
-    val priority: Priority = Priority.DRAFT,
-    val promptTokens: Long = 0,
-    val submittedAt: Duration = Duration.ZERO,
-    val deadline: Duration = Duration.INFINITE,
-    val excluded: Set<String> = emptySet(),
-)
-
-/** What happens to a queued call. */
-sealed interface ScheduleDecision {
-    /** Id of the call. */
-    val call: Long
-
-    /** The call goes to [endpoint] now and occupies one slot of its window until [CallScheduler.finished]. */
-    data class Dispatch(override val call: Long, val endpoint: Endpoint) : ScheduleDecision
-
-    /** The deadline passed before a slot was free; the call did not run. */
-    data class Expire(override val call: Long) : ScheduleDecision
-}
+class CallScheduler(
+    private val clock: MonotonicClock,
+    private val settings: ScheduleSettings = ScheduleSettings(),
+    private val weightOf: (ScopedName) -> Double = { 1.0 },
+    windowOf: (Endpoint) -> Int = { it.window },
+) {
+    private val pools = EndpointPools(windowOf)
+    private val placement = Placement(settings, pools)
+    private val queues = HashMap<ScopedName, FairQueue>()
+    private val running = HashMap<Long, RunningCall>()
+    private val service = AttainedService()
+    private val outputs = ExpectedOutput()
 
-/** Decides which waiting call runs next, and where. */
-class CallScheduler(private val clock: MonotonicClock) {
-    private val waiting = ArrayDeque<QueuedCall>()
-    private val running = HashMap<Long, Endpoint>()
-    private val inFlight = HashMap<String, Int>()
-    private var endpoints: Map<ScopedName, List<Endpoint>> = emptyMap()
+    /** What engines are believed to cache, and what becomes of paused programs' caches. */
+    val caches: ProgramCaches = ProgramCaches(clock, settings, pools, placement)
 
     /** Calls that wait now. */
-    val queueLength: Int get() = waiting.size
+    val queueLength: Int get() = queues.values.sumOf { it.size }
+
+    /** Calls that wait for [deployment]. */
+    fun waitingFor(deployment: ScopedName): Int = queues[deployment]?.size ?: 0
+
+    /** Calls of this VM in flight at the endpoint at [address]. */
+    fun inFlight(address: String): Int = pools[address]?.inFlight ?: 0
 
     /** Replaces the endpoints that may get new work, by deployment. */
     fun endpointsChanged(usable: Map<ScopedName, List<Endpoint>>): List<ScheduleDecision> {
-        endpoints = usable
-        return decide()
+        pools.replace(usable)
+        return queues.keys.flatMap { decide(it) }
+    }
+
+    /** Reads the windows again after they changed. */
+    fun windowsChanged(): List<ScheduleDecision> {
+        pools.refreshWindows()
+        return queues.keys.flatMap { decide(it) }
     }
 
     /** Adds [call] to the queue. */
     fun submit(call: QueuedCall): List<ScheduleDecision> {
-        waiting.addLast(call)
-        return decide()
+        call.program?.let { caches.pauses.called(it, clock.now()) }
+        val queue = queues.getOrPut(call.deployment) { FairQueue(settings, weightOf) }
+        queue.add(call, service.of(call.program))
+        return decide(call.deployment)
     }
 
     /** Removes a call that its caller gave up, whether it waits or runs. */
     fun cancelled(call: Long): List<ScheduleDecision> {
-        waiting.removeAll { it.id == call }
+        queues.values.firstNotNullOfOrNull { it.remove(call) }
         return finished(call)
     }
 
-    /** Frees the slot of a call that was dispatched. */
-    fun finished(call: Long): List<ScheduleDecision> {
-        val endpoint = running.remove(call) ?: return emptyList()
-        inFlight.merge(endpoint.address, -1, Int::plus)
-        return decide()
+    /** Takes the first token of a call that was dispatched. */
+    fun firstToken(call: Long) {
+        val run = running[call] ?: return
+        placement.firstToken(run.call.promptTokens - run.expectedCached, clock.now() - run.dispatchedAt)
+    }
+
+    /** Frees the slot of a call that was dispatched. [usage] is null when the endpoint reported none. */
+    fun finished(call: Long, usage: Usage? = null): List<ScheduleDecision> {
+        val run = running.remove(call) ?: return emptyList()
+        val now = clock.now()
+        pools.update(run.slots) { inFlight-- }
+        run.slots.served(now - run.dispatchedAt)
+        if (usage != null) settle(run, usage, now)
+        run.call.program?.let { caches.pauses.answered(it, now) }
+        return decide(run.call.deployment)
+    }
+
+    /** Forgets [program], which ended; the decision frees what engines hold of it. */
+    fun programEnded(program: ProgramId): List<CacheDecision> {
+        service.remove(program)
+        return caches.ended(program)
     }
 
     /** Expires calls whose deadline passed. */
-    fun tick(): List<ScheduleDecision> = decide()
+    fun tick(): List<ScheduleDecision> {
+        val now = clock.now()
+        val expired = queues.values.flatMap { queue ->
+            queue.calls().filter { now >= it.deadline }.map { call ->
+                queue.remove(call.id)
+                ScheduleDecision.Expire(call.id)
+            }
+        }
+        return expired + queues.keys.flatMap { decide(it) }
+    }
+
+    private fun settle(run: RunningCall, usage: Usage, now: Duration) {
+        val cost = settings.cost.of(usage)
+        queues.getValue(run.call.deployment).charge(run.call.account, cost - run.charged)
+        run.call.program?.let { service.add(it, cost) }
+        outputs.learn(run.call.account, usage.completion)
+        run.slots.belief.answered(run.call, usage.cached, usage.prompt + usage.completion, now)
+    }
 
-    private fun decide(): List<ScheduleDecision> {
+    private fun decide(deployment: ScopedName): List<ScheduleDecision> {
+        val queue = queues[deployment] ?: return emptyList()
         val decisions = mutableListOf<ScheduleDecision>()
-        val now = clock.now()
-        val calls = waiting.iterator()
-        while (calls.hasNext()) {
-            val decision = decide(calls.next(), now) ?: continue
-            calls.remove()
-            decisions += decision
+        while (queue.size > 0 && pools.of(deployment).firstOrNull()?.isFree == true) {
+            decisions += next(queue) ?: break
         }
         return decisions
     }
 
-    private fun decide(call: QueuedCall, now: Duration): ScheduleDecision? {
-        if (now >= call.deadline) return ScheduleDecision.Expire(call.id)
-        val endpoint = endpoints[call.deployment].orEmpty()
-            .filter { it.name !in call.excluded && load(it) < it.window }
-            .minByOrNull { load(it) } ?: return null
-        running[call.id] = endpoint
-        inFlight.merge(endpoint.address, 1, Int::plus)
-        return ScheduleDecision.Dispatch(call.id, endpoint)
+    private fun next(queue: FairQueue): ScheduleDecision? {
+        val now = clock.now()
+        for (call in queue.inOrder(now).take(settings.scanLimit)) {
+            val place = if (now >= call.deadline) Place.Later else placement.place(call, now)
+            if (place is Place.Now) return dispatch(queue, call, place, now)
+        }
+        return null
+    }
+
+    private fun dispatch(queue: FairQueue, call: QueuedCall, place: Place.Now, now: Duration): ScheduleDecision {
+        queue.remove(call.id)
+        queue.taken(call)
+        val uncached = call.promptTokens - place.expectedCached
+        val charged = settings.cost.of(uncached, place.expectedCached, outputs.of(call.account))
+        queue.charge(call.account, charged)
+        pools.update(place.slots) { inFlight++ }
+        call.program?.let { placement.ranAt(it, place.slots) }
+        running[call.id] = RunningCall(call, place.slots, now, charged, place.expectedCached)
+        return ScheduleDecision.Dispatch(call.id, place.slots.endpoint)
     }
 
-    private fun load(endpoint: Endpoint) = inFlight[endpoint.address] ?: 0
+    private class RunningCall(
+        val call: QueuedCall,
+        val slots: EndpointSlots,
+        val dispatchedAt: Duration,
+        val charged: Double,
+        val expectedCached: Long,
+    )
 }
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/FairQueue.kt
@@ -0,0 +1,79 @@
+package io.jasmineford.core.schedule
+
+import io.jasmineford.core.config.Priority
+import io.jasmineford.core.config.ScopedName
+import java.util.PriorityQueue
+import kotlin.time.Duration
+
+/**
+ * Waiting calls of one deployment. Between accounts the one with the least attained token cost in proportion to its weight
+ * goes first. An account that was idle is lifted to the least counter of those that wait, so that it gains nothing by
+ * having been idle (Virtual Token Counter, Sheng et al., 2024).
+ */
+internal class FairQueue(
+    private val settings: ScheduleSettings,
+    private val weightOf: (ScopedName) -> Double,
+) {
+    private val queues = Priority.entries.associateWith { HashMap<ScopedName, AccountQueue>() }
+    private val counters = HashMap<ScopedName, Double>()
+    private val waiting = HashMap<Long, WaitingCall>()
+    private var lookupsInRow = 0
+    private var lastCounter = 0.0
+
+    val size: Int get() = waiting.size
+
+    /** All waiting calls. */
+    fun calls(): Collection<QueuedCall> = waiting.values.map { it.call }
+
+    fun add(call: QueuedCall, attained: Double) {
+        lift(call.account)
+        val entry = WaitingCall(call, attained)
+        waiting[call.id] = entry
+        queues.getValue(call.priority).getOrPut(call.account) { AccountQueue(call.account) }.add(entry)
+    }
+
+    fun remove(id: Long): QueuedCall? {
+        val entry = waiting.remove(id) ?: return null
+        val byAccount = queues.getValue(entry.call.priority)
+        val queue = byAccount.getValue(entry.call.account)
+        queue.remove(entry)
+        if (queue.size == 0) byAccount.remove(entry.call.account)
+        lastCounter = counterOf(entry.call.account)
+        return entry.call
+    }
+
+    /** Records that [call] was taken, so that drafts get their turn among lookups. */
+    fun taken(call: QueuedCall) {
+        val isDraftWaiting = queues.getValue(Priority.DRAFT).isNotEmpty()
+        lookupsInRow = if (call.priority == Priority.LOOKUP && isDraftWaiting) lookupsInRow + 1 else 0
+    }
+
+    /** Adds [cost] to the account's counter; a negative cost corrects an estimate. */
+    fun charge(account: ScopedName, cost: Double) {
+        counters[account] = counterOf(account) + cost / weightOf(account)
+    }
+
+    /** Calls in the order in which they should run. */
+    fun inOrder(now: Duration): Sequence<QueuedCall> {
+        val isDraftDue = lookupsInRow >= settings.lookupsPerDraft
+        val order = if (isDraftDue) Priority.entries.reversed() else Priority.entries
+        return order.asSequence().flatMap { inOrder(queues.getValue(it), now) }.map { it.call }
+    }
+
+    private fun inOrder(byAccount: Map<ScopedName, AccountQueue>, now: Duration): Sequence<WaitingCall> {
+        if (byAccount.isEmpty()) return emptySequence()
+        // The heap makes the first account cheap to find; the others are ordered only when the scan gets to them.
+        val heap = PriorityQueue(byAccount.size, compareBy<AccountQueue> { counterOf(it.account) }.thenBy { "${it.account}" })
+        heap.addAll(byAccount.values)
+        return generateSequence { heap.poll() }.flatMap { it.inOrder(now, settings.ageBound) }
+    }
+
+    private fun lift(account: ScopedName) {
+        val waitingAccounts = queues.values.flatMap { it.keys }
+        if (account in waitingAccounts) return
+        val least = waitingAccounts.minOfOrNull { counterOf(it) } ?: lastCounter
+        counters[account] = maxOf(counterOf(account), least)
+    }
+
+    private fun counterOf(account: ScopedName) = counters[account] ?: 0.0
+}
