--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -39,9 +39,11 @@
     private val daemons = mutableListOf<EntryDaemon>()
 
     val engines = listOf("engine-a", "engine-b").map { name ->
-        EngineServer(name, tokenInterval = engineTokenInterval.milliseconds) { headers, body ->
-            seenByEndpoints += "$headers $body"
-        }
+        EngineServer(
+            name = name,
+            tokenInterval = engineTokenInterval.milliseconds,
+            onRequest = { headers, body -> seenByEndpoints += "$headers $body" },
+        )
     }
     val service = ServiceServer(onRequest = { seenByEndpoints += it.toString() }, onTarget = { seenByEndpoints += it })
     val http = HttpClient(CIO) { install(HttpTimeout) { requestTimeoutMillis = CLIENT_TIMEOUT_MS } }
