Wait for calls in flight at a planned stop

Cause: a planned stop waited only for the calls of the shards it kept. Calls that it forwarded to another keeper, and calls without a program, were cut, and callers with its old address got a refused connection at once. Change: RequestsInFlight counts every answer that a caller or peer waits for; the stop waits for them, and goes on telling late callers where to go for stopGraceMs (10 s, as long as an address answer holds).

--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -90,6 +90,7 @@
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
+    private val requests = RequestsInFlight()
     private var isLeaving = false
     private var isClosed = false
     private lateinit var membership: Membership
@@ -131,17 +132,25 @@
     /** Generation of the configuration in force here. */
     suspend fun generation(): Long = withContext(control) { holder.current.generation }
 
-    /** Planned stop: leaves the address answers first, hands its shards over, lets calls end, then closes. */
-    suspend fun stop(patience: Duration = 20.seconds) {
+    /**
+     * Planned stop: leaves the address answers first, hands its shards over, lets the calls in flight end, and answers
+     * callers that still have its address for the grace time of the settings. Calls that take longer than [patience] are
+     * cut.
+     */
+    suspend fun stop(patience: Duration = 60.seconds) {
         if (isClosed) return
+        val startedAt = clock.now()
         withContext(control) {
             isLeaving = true
             membership.leave()
         }
-        val isEmpty = withTimeoutOrNull(patience) {
-            while (!withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
+        val isDrained = withTimeoutOrNull(patience) {
+            while (requests.count > 0 || !withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
+            true
         }
-        log.event("daemon_stopped", "vm" to settings.vm, "handedOver" to (isEmpty != null))
+        val grace = settings.stopGraceMs.milliseconds - (clock.now() - startedAt)
+        if (grace.isPositive()) delay(grace)
+        log.event("daemon_stopped", "vm" to settings.vm, "drained" to (isDrained == true), "requests" to requests.count)
         close()
     }
 
@@ -217,7 +226,7 @@
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
         gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
-        handle = { guard.guard(it, router::handle) },
+        handle = { requests.counted(guard.guard(it, router::handle)) },
         addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
         isOut = { isLeaving },
         onAnswered = { labels ->
@@ -237,7 +246,7 @@
 
     private fun peerPort() = PeerPort(
         clock = clock,
-        handle = { guard.guard(it, router::handle) },
+        handle = { requests.counted(guard.guard(it, router::handle)) },
         probe = { withContext(control) { probe() } },
         announced = { request ->
             val driver = configuration.await().driver
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -21,6 +21,8 @@
  * @property operatorPort HTTP port for operators and metrics; 0 lets the system choose.
  * @property peerPort gRPC port for other daemons; 0 lets the system choose.
  * @property platformUrl base URL of the object API.
+ * @property stopGraceMs time from the start of a planned stop during which callers that still have this VM's address are
+ *   told where to go; as long as an address answer holds.
  * @property dataDirectory folder on a small disk for cached history; empty when the VM has none.
  */
 @Serializable
@@ -43,6 +45,7 @@
     val configurationMaxProofAgeMs: Long = 2_000,
     val callDeadlineMs: Long = 60_000,
     val storeTimeoutMs: Long = 2_000,
+    val stopGraceMs: Long = 10_000,
 )
 
 /** A fault of the settings: the key, the value and the accepted range on one line. */
@@ -81,6 +84,7 @@
     checkRange("configurationMaxProofAgeMs", settings.configurationMaxProofAgeMs)
     checkRange("callDeadlineMs", settings.callDeadlineMs)
     checkRange("storeTimeoutMs", settings.storeTimeoutMs)
+    checkRange("stopGraceMs", settings.stopGraceMs)
     // A lease must survive one lost renewal.
     if (settings.leaseRenewEveryMs > settings.leaseTimeToLiveMs / 2) {
         val most = settings.leaseTimeToLiveMs / 2
@@ -152,4 +156,5 @@
     "configurationMaxProofAgeMs" to INTERVAL_MS,
     "callDeadlineMs" to 10L..3_600_000L,
     "storeTimeoutMs" to INTERVAL_MS,
+    "stopGraceMs" to 0L..600_000L,
 )
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -59,16 +59,28 @@
         val url = "http://127.0.0.1:${platform.start()}"
         for (zone in ZONES) {
             val store = HttpObjectStore(url).also { stores += it }
-            val settings = EntrySettings(vm = "$zone-1", zone = zone, platformUrl = url, configurationPollMs = 100)
+            val settings = EntrySettings(vm = "$zone-1", zone = zone, platformUrl = url, configurationPollMs = 100, stopGraceMs = 500)
             val daemon = EntryDaemon(settings, store).also { daemons += it }
             identities += daemon.start()
         }
         return this
     }
 
+    /** Stops daemon [vm] by plan. */
+    suspend fun stop(vm: Int) = daemons[vm].stop()
+
+    /** Stops daemon [vm] at once, as a crash would. */
+    fun kill(vm: Int) = daemons[vm].close()
+
     suspend fun publish(note: String): String =
         http.post("http://${identities[0].operatorAddress}/release") { setBody(note) }.bodyAsText()
 
+    /** Calls that the engines run now, as their load reports tell. */
+    suspend fun runningAtEngines(): Int = enginePorts.sumOf { port ->
+        val load = http.get("http://127.0.0.1:$port/load").bodyAsText()
+        load.substringAfter("\"running\":").substringBefore(',').toInt()
+    }
+
     suspend fun setStoreDown(isDown: Boolean) = platform.withStore { this.isDown = isDown }
 
     suspend fun awaitGeneration(generation: Long) = awaitUntil("all daemons in generation $generation") {
