--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -26,6 +26,7 @@
 import kotlinx.coroutines.withTimeout
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -45,7 +46,11 @@
             onRequest = { headers, body -> seenByEndpoints += "$headers $body" },
         )
     }
-    val service = ServiceServer(onRequest = { seenByEndpoints += it.toString() }, onTarget = { seenByEndpoints += it })
+    val service = ServiceServer(
+        onRequest = { seenByEndpoints += it.toString() },
+        onTarget = { seenByEndpoints += it },
+        answerDelay = { path -> if (path == HANGING_PATH) HANG else Duration.ZERO },
+    )
     val http = HttpClient(CIO) { install(HttpTimeout) { requestTimeoutMillis = CLIENT_TIMEOUT_MS } }
     val identities = mutableListOf<VmIdentity>()
     lateinit var enginePorts: List<Int>
@@ -136,6 +141,10 @@
         val ZONES = listOf("be-wal-a", "be-wal-b", "be-wal-c")
         const val CHAT = """{"model":"chat","messages":[{"role":"user","content":"hello"}]}"""
         const val CLIENT_TIMEOUT_MS = 30_000L
+
+        /** A service path whose side effect is done at once and whose answer comes late. */
+        const val HANGING_PATH = "hanging"
+        val HANG = 4.seconds
     }
 }
 
--- a/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/service/ServiceServer.kt
+++ b/jasmineford-standin/src/main/kotlin/io/jasmineford/standin/service/ServiceServer.kt
@@ -8,8 +8,10 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.routing
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlin.time.Duration
 
 /** One executed side effect. */
 data class ServiceEffect(
@@ -23,11 +25,13 @@
  * @param port 0 lets the system choose.
  * @param onRequest sees the raw headers of each request.
  * @param onTarget sees the path and query of each request.
+ * @param answerDelay time between a side effect and its answer, for a service that hangs.
  */
 class ServiceServer(
     port: Int = 0,
     private val onRequest: (headers: Map<String, List<String>>) -> Unit = {},
     private val onTarget: (target: String) -> Unit = {},
+    private val answerDelay: (path: String) -> Duration = { Duration.ZERO },
 ) : AutoCloseable {
     private val mutex = Mutex()
     private val recorded = mutableListOf<ServiceEffect>()
@@ -48,6 +52,7 @@
                     recorded += ServiceEffect(path, body)
                     recorded.size
                 }
+                delay(answerDelay(path))
                 call.respondText("""{"path":"$path","receipt":$count}""", ContentType.Application.Json)
             }
         }
