Free engine memory of ended, dropped and silent programs

Change: each keeper compares what the engines hold with the programs of its own shards and deletes what is unknown, has ended or is silent (settings engineCompareMs, programIdleMs). Engines get organisation, account and program as the name.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
@@ -34,10 +34,14 @@
     /** Whether [ticket] is the one in flight; false after its program was dropped or taken over. */
     fun isInFlight(ticket: TurnTicket): Boolean = entryOf(ticket) != null
 
-    /** Programs whose last call ended at least [idle] ago or that have ended; their engine memory may be freed. */
-    fun silent(idle: Duration): Set<ProgramId> = programs
-        .filterValues { it.inFlight == null && (it.state.isClosed || clock.now() - it.usedAt >= idle) }
-        .keys
+    /**
+     * Whether engine memory of [program] may be freed: it is unknown, has ended, or its last call ended at least [idle]
+     * ago.
+     */
+    fun isUnused(program: ProgramId, idle: Duration): Boolean {
+        val entry = programs[program] ?: return true
+        return entry.inFlight == null && (entry.state.isClosed || clock.now() - entry.usedAt >= idle)
+    }
 
     /** Takes a program over from a replayed journal. */
     fun adopt(program: ProgramId, state: ProgramState) {
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramId.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramId.kt
@@ -26,3 +26,15 @@
 
 /** Text that is hashed to find the shard. All programs of a tree share it, since they share a budget. */
 val ProgramId.shardName: String get() = root.toString()
+
+/** Name under which engines hold the program's keys and values; two accounts' programs never share one. */
+val ProgramId.engineName: String get() = toString()
+
+/** Program of the [engineName] [name], or null when it is not one. */
+fun programOfEngineName(name: String): ProgramId? {
+    val parts = name.split('/', limit = ENGINE_NAME_PARTS)
+    if (parts.size != ENGINE_NAME_PARTS) return null
+    return ProgramId(ScopedName(parts[0], parts[1]), parts[2])
+}
+
+private const val ENGINE_NAME_PARTS = 3
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -18,6 +18,7 @@
 import io.jasmineford.daemon.call.CallRouter
 import io.jasmineford.daemon.call.EndpointQueue
 import io.jasmineford.daemon.call.EngineClient
+import io.jasmineford.daemon.call.EngineMemory
 import io.jasmineford.daemon.call.ModelCalls
 import io.jasmineford.daemon.call.ServiceCalls
 import io.jasmineford.daemon.call.ServiceClient
@@ -181,6 +182,7 @@
             shards = settings.shards,
             nonces = nonces,
         )
+        val engines = EngineClient(client, clock)
         router = CallRouter(
             self = settings.vm,
             control = control,
@@ -188,7 +190,7 @@
             configuration = holder,
             membership = membership,
             keeper = keeper,
-            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client, clock)),
+            models = ModelCalls(control, clock, holder, keeper, queue, engines),
             services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
             forward = peers::forward,
         )
@@ -196,6 +198,13 @@
         keeper.start()
         startConfiguration(identity)
         queue.start(scope)
+        EngineMemory(
+            configuration = holder,
+            keeper = keeper,
+            engines = engines,
+            every = settings.engineCompareMs.milliseconds,
+            idle = settings.programIdleMs.milliseconds,
+        ).start(scope)
     }
 
     private fun startConfiguration(identity: VmIdentity) {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ModelCalls.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ModelCalls.kt
@@ -12,6 +12,7 @@
 import io.jasmineford.core.program.TurnRequest
 import io.jasmineford.core.program.TurnTicket
 import io.jasmineford.core.program.Usage
+import io.jasmineford.core.program.engineName
 import io.jasmineford.core.schedule.QueuedCall
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.control.Durability
@@ -112,7 +113,7 @@
         val request = EngineCall(
             address = endpoint.address,
             requestId = turn.call.requestId,
-            chat = turn.chat.copy(user = turn.target.program?.toString()),
+            chat = turn.chat.copy(user = turn.target.program?.engineName),
             deadline = turn.call.deadline,
         )
         engines.stream(request).collect { event ->
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -23,6 +23,8 @@
  * @property platformUrl base URL of the object API.
  * @property stopGraceMs time from the start of a planned stop during which callers that still have this VM's address are
  *   told where to go; as long as an address answer holds.
+ * @property engineCompareMs time between two comparisons of engine memory with the programs that are live.
+ * @property programIdleMs time without a call after which a program's engine memory is freed.
  * @property dataDirectory folder on a small disk for cached history; empty when the VM has none.
  */
 @Serializable
@@ -46,6 +48,8 @@
     val callDeadlineMs: Long = 60_000,
     val storeTimeoutMs: Long = 2_000,
     val stopGraceMs: Long = 10_000,
+    val engineCompareMs: Long = 30_000,
+    val programIdleMs: Long = 900_000,
 )
 
 /** A fault of the settings: the key, the value and the accepted range on one line. */
@@ -85,6 +89,8 @@
     checkRange("callDeadlineMs", settings.callDeadlineMs)
     checkRange("storeTimeoutMs", settings.storeTimeoutMs)
     checkRange("stopGraceMs", settings.stopGraceMs)
+    checkRange("engineCompareMs", settings.engineCompareMs)
+    checkRange("programIdleMs", settings.programIdleMs)
     // A lease must survive one lost renewal.
     if (settings.leaseRenewEveryMs > settings.leaseTimeToLiveMs / 2) {
         val most = settings.leaseTimeToLiveMs / 2
@@ -157,4 +163,6 @@
     "callDeadlineMs" to 10L..3_600_000L,
     "storeTimeoutMs" to INTERVAL_MS,
     "stopGraceMs" to 0L..600_000L,
+    "engineCompareMs" to 10L..3_600_000L,
+    "programIdleMs" to 10L..86_400_000L,
 )
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -64,7 +64,14 @@
         val url = "http://127.0.0.1:${platform.start()}"
         for (zone in ZONES) {
             val store = HttpObjectStore(url).also { stores += it }
-            val settings = EntrySettings(vm = "$zone-1", zone = zone, platformUrl = url, configurationPollMs = 100, stopGraceMs = 500)
+            val settings = EntrySettings(
+                vm = "$zone-1",
+                zone = zone,
+                platformUrl = url,
+                configurationPollMs = 100,
+                stopGraceMs = 500,
+                engineCompareMs = 100,
+            )
             val daemon = EntryDaemon(settings, store).also { daemons += it }
             identities += daemon.start()
         }
