Forget ended trees and test the handover rules of a keeper

Cause: ended programs and single calls stayed in memory for ever. The release before all records are durable, the drain after a release and the drop of memory at a seal had no test of their own.

Change: trees whose programs have all ended are forgotten after an hour, or 24 hours with calls that may not be repeated. ShardKeepingTest covers the three rules.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
@@ -5,6 +5,7 @@
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.time.MonotonicClock
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -134,18 +135,26 @@
         return record
     }
 
-    /** Forgets an ended program. Its name may be used again afterwards. */
-    fun forget(program: ProgramId) {
-        if (programs[program]?.inFlight != null) return
-        programs.remove(program)
-        val tree = members[program.root] ?: return
-        tree.remove(program)
-        if (tree.isEmpty()) {
-            members.remove(program.root)
-            trees.remove(program.root)
+    /**
+     * Forgets trees whose programs have all ended long enough ago; their names may be used again. A tree is forgotten as
+     * a whole, since its budget is the sum over its programs.
+     */
+    fun forgetEnded(retention: Retention = Retention()) {
+        val ended = members.filterValues { tree -> tree.all { isPast(programs.getValue(it), retention) } }
+        for ((root, tree) in ended) {
+            programs.keys.removeAll(tree)
+            trees.remove(root)
+            members.remove(root)
         }
     }
 
+    /** A program that only holds calls which may not be repeated never says that it has ended. */
+    private fun isPast(entry: Entry, retention: Retention): Boolean {
+        val isEnded = entry.state.isClosed || entry.state.chars == 0L
+        val kept = if (entry.state.effects.isEmpty()) retention.ended else retention.effects
+        return isEnded && entry.inFlight == null && clock.now() - entry.usedAt >= kept
+    }
+
     private fun run(request: TurnRequest, entry: Entry?): TurnDecision.Run {
         var opened: ProgramRecord.ProgramOpened? = null
         val current = entry ?: run {
@@ -274,6 +283,17 @@
     val keptBodyBytes: Int = 65_536,
 )
 
+/**
+ * How long ended programs are remembered.
+ *
+ * @property ended without calls that may not be repeated.
+ * @property effects with such calls. A repeat after this time would run again, so it exceeds every caller's retries.
+ */
+data class Retention(
+    val ended: Duration = 1.hours,
+    val effects: Duration = 24.hours,
+)
+
 /** Why the program's state doesn't allow [request], or null. */
 private fun stateRefusal(request: TurnRequest, entry: ProgramBook.Entry?, isKept: (ProgramId) -> Boolean): Refusal? {
     val state = entry?.state
--- a/jasmineford-core/src/test/kotlin/io/jasmineford/core/program/ProgramBookTest.kt
+++ b/jasmineford-core/src/test/kotlin/io/jasmineford/core/program/ProgramBookTest.kt
@@ -9,6 +9,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertNull
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.seconds
 
 class ProgramBookTest {
@@ -108,6 +109,28 @@
         assertEquals(Reason.BUDGET_TIME, assertIs<TurnDecision.Refuse>(other.begin(next)).refusal.reason)
     }
 
+    @Test
+    fun `an ended tree is forgotten as a whole, and one with calls that may not be repeated later`() {
+        commitFirst()
+        val sub = program.copy(name = "p/sub")
+        val ticket = begin(first.copy(program = sub))
+        book.close(program)
+        clock.advance(2.hours)
+        book.forgetEnded()
+        assertEquals(2, book.size, "expected the tree to stay while a sub-agent runs")
+        book.release(ticket)
+        book.close(sub)
+        val call = begin(effect.copy(program = program.copy(name = "call:k"), turn = 1))
+        book.intend(call)
+        book.recordOutcome(call, Outcome.RESULT, EffectReply(200))
+        clock.advance(2.hours)
+        book.forgetEnded()
+        assertEquals(listOf("call:k"), book.states().keys.map { it.name })
+        clock.advance(24.hours)
+        book.forgetEnded()
+        assertEquals(0, book.size)
+    }
+
     @Test
     fun `a checkpoint restores the state in parts that fit a segment`() {
         val state = ProgramState(
--- /dev/null
+++ b/jasmineford-core/src/test/kotlin/io/jasmineford/core/program/ShardKeepingTest.kt
@@ -0,0 +1,86 @@
+package io.jasmineford.core.program
+
+import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.lease.ShardOwner
+import io.jasmineford.core.time.VirtualClock
+import io.jasmineford.standin.platform.FakeObjectStore
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+
+class ShardKeepingTest {
+    private val clock = VirtualClock()
+    private val store = FakeObjectStore()
+    private val journal = Journal("vm-1", JournalSettings(), clock) { "n${store.revision}" }
+    private val book = ProgramBook(clock)
+    private val rights = FakeRights()
+    private val keeping = ShardKeeping(rights, journal, book, { 0 }, { "seal" })
+    private val request = TurnRequest(ProgramId(ScopedName("be-wal", "club"), "p"), turn = 1)
+
+    private fun write() {
+        clock.advance(journal.dueIn() ?: return)
+        val write = checkNotNull(journal.poll())
+        journal.onReply(store.put(write.key, write.value, 0, write.nonce))
+    }
+
+    private fun serve() {
+        keeping.poll()
+        write()
+        keeping.poll()
+        assertEquals(true, keeping.isServing(0), "expected a new shard to be served once its section is durable")
+    }
+
+    @Test
+    fun `a shard is released only when its calls have ended and every record is durable`() {
+        serve()
+        keeping.callBegan(0)
+        val ticket = assertIs<TurnDecision.Run>(keeping.begin(request)).ticket
+        rights.moving = setOf(0)
+        assertEquals(emptyList(), keeping.poll(), "a call is in flight")
+        assertNull(keeping.begin(request), "expected no new call while the shard drains")
+        journal.append(checkNotNull(book.commit(ticket, emptyList(), Usage())))
+        keeping.callEnded(0)
+        assertEquals(emptyList(), keeping.poll(), "the last turn would be missing from the new owner's replay")
+        write()
+        assertEquals(listOf<KeeperAction>(KeeperAction.Release(setOf(0))), keeping.poll())
+    }
+
+    @Test
+    fun `a shard whose release was asked for is served again only after the map has moved on`() {
+        serve()
+        rights.moving = setOf(0)
+        keeping.poll()
+        rights.moving = emptySet()
+        keeping.poll()
+        assertEquals(false, keeping.isServing(0), "the release may still take effect")
+        rights.mapEpoch++
+        keeping.poll()
+        assertEquals(true, keeping.isServing(0))
+    }
+
+    @Test
+    fun `a sealed journal drops all programs, since memory may hold turns that never became durable`() {
+        serve()
+        val ticket = assertIs<TurnDecision.Run>(keeping.begin(request)).ticket
+        journal.append(checkNotNull(book.commit(ticket, emptyList(), Usage())))
+        store.put(segmentKey("vm-1", 1), journalJson.encodeToString(Segment(1, isSeal = true)), 0, "successor")
+        write()
+        assertEquals(false, keeping.isServing(0))
+        keeping.poll()
+        assertEquals(0, book.size)
+    }
+
+    private class FakeRights : ShardRights {
+        var moving = emptySet<Int>()
+        override var mapEpoch = 1L
+        override val mapRevision = 0L
+        override val owners = listOf(ShardOwner("vm", incarnation = 1, epoch = 1, journals = listOf("vm-1")))
+
+        override fun isOwn(shard: Int) = true
+
+        override fun mayAct(shard: Int) = true
+
+        override fun toHandOver() = moving
+    }
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ShardKeeper.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ShardKeeper.kt
@@ -29,6 +29,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 
 /**
  * Drives [ShardKeeping] and the journal of this VM's current incarnation. All functions run on the control thread.
@@ -59,6 +60,7 @@
 
     /** Takes shards over and hands them over until the scope is cancelled. */
     fun start() = scope.launch {
+        launch { forgetEnded() }
         while (true) {
             if (journal.journal.isFenced && membership.incarnation == incarnation) membership.abandon()
             if (membership.incarnation != incarnation) startAnew()
@@ -97,6 +99,13 @@
     /** True when no shard is left to hand over. */
     fun isEmpty(): Boolean = membership.ownShards().isEmpty()
 
+    private suspend fun forgetEnded() {
+        while (true) {
+            delay(FORGET_INTERVAL)
+            book.forgetEnded()
+        }
+    }
+
     private fun openJournal(): JournalDriver {
         val machine = Journal(journalId(vm, incarnation), journalSettings, clock, nonces)
         return JournalDriver(scope, store, machine) { wake.trySend(Unit) }.also { it.start() }
@@ -155,6 +164,7 @@
     private companion object {
         val log = KotlinLogging.logger {}
         val POLL_INTERVAL = 20.milliseconds
+        val FORGET_INTERVAL = 1.minutes
     }
 }
 
