--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationSync.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationSync.kt
@@ -69,6 +69,9 @@
     private var failures = 0
     private var writesUnderWay = 0
 
+    /** Name of this VM. */
+    val vm: String get() = self.vm
+
     /** Generation in force. */
     val generation: Long get() = holder.current.generation
 
@@ -98,7 +101,7 @@
     /** Takes a head that a watch or a peer told; it proves nothing. Returns what is due at once. */
     fun onHint(head: ConfigurationHead): List<SyncAction> {
         holder.heardOf(head.generation)
-        if (head.generation > newestHead.generation) {
+        if (head.index.isNotEmpty() && head.generation > newestHead.generation) {
             newestHead = head
             nextLoad = clock.now()
         }
@@ -224,7 +227,7 @@
     }
 
     private fun loadIfDue(now: Duration): SyncAction.Load? {
-        val isDue = newestHead.generation > holder.current.generation && newestHead.index.isNotEmpty() && now >= nextLoad
+        val isDue = newestHead.generation > holder.current.generation && now >= nextLoad
         if (!isDue) return null
         nextLoad = now + settings.retryEvery * 2
         return SyncAction.Load(newestHead)
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/FleetMembers.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/FleetMembers.kt
@@ -29,6 +29,8 @@
     private val self: FleetMember,
     private val lingerFor: Duration,
 ) {
+    private val watchersByZone = HashMap<String, List<FleetMember>>()
+    private val digestByZone = HashMap<String, Long>()
     private val acknowledgedBy = HashMap<String, Long>()
     private var ownIncarnation = 0L
     private val members = sortedMapOf(self.vm to Entry(self, addedAt = Duration.ZERO))
@@ -53,6 +55,7 @@
     fun listed(leases: List<FleetMember>, incarnation: Long, askedAt: Duration) {
         if (incarnation != ownIncarnation) acknowledgedBy.clear()
         ownIncarnation = incarnation
+        forgetDerived()
         isSelfListed = leases.any { it.vm == self.vm && it.incarnation == incarnation }
         leases.filter { it.vm != self.vm }.forEach { members[it.vm] = Entry(it, askedAt) }
         val seen = leases.mapTo(HashSet()) { it.vm } + self.vm
@@ -78,22 +81,29 @@
     /** Takes a member that made itself known at [now]. */
     fun introduced(member: FleetMember, now: Duration) {
         val known = members[member.vm]
-        if (known == null || known.missingSince != null) members[member.vm] = Entry(member, now)
+        if (known != null && known.missingSince == null) return
+        forgetDerived()
+        members[member.vm] = Entry(member, now)
     }
 
     /**
      * The members of [zone] that watch the store: about 1.5 times the square root of the zone's size, so that watches grow
      * more slowly than the fleet and each watcher still serves few others.
      */
-    fun watchers(zone: String): List<FleetMember> {
+    fun watchers(zone: String): List<FleetMember> = watchersByZone.getOrPut(zone) {
         val ranked = inZone(zone).sortedBy { Hashing.murmur3_128().hashString(it.vm, Charsets.UTF_8).asLong() }
-        return ranked.take(ceil(WATCHER_FACTOR * sqrt(ranked.size.toDouble())).toInt())
+        ranked.take(ceil(WATCHER_FACTOR * sqrt(ranked.size.toDouble())).toInt())
     }
 
     /** Digest of the names of the members of [zone]. */
-    fun digest(zone: String): Long {
+    fun digest(zone: String): Long = digestByZone.getOrPut(zone) {
         val names = inZone(zone).joinToString(",") { it.vm }
-        return Hashing.murmur3_128().hashString(names, Charsets.UTF_8).asLong()
+        Hashing.murmur3_128().hashString(names, Charsets.UTF_8).asLong()
+    }
+
+    private fun forgetDerived() {
+        watchersByZone.clear()
+        digestByZone.clear()
     }
 
     private class Entry(val member: FleetMember, val addedAt: Duration, var missingSince: Duration? = null)
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationDriver.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationDriver.kt
@@ -22,6 +22,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.io.IOException
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -41,6 +42,7 @@
     private val exchange: ViewExchange,
     private val incarnation: () -> Long,
     private val onChange: (Configuration) -> Unit,
+    private val pollEvery: Duration = 20.milliseconds,
 ) {
     private val reader = ConfigurationReader(store)
     private var watch: Job? = null
@@ -50,7 +52,7 @@
         while (true) {
             perform(sync.poll())
             keepWatch()
-            delay(POLL_INTERVAL)
+            delay(pollEvery)
         }
     }
 
@@ -123,7 +125,6 @@
 
     private companion object {
         val log = KotlinLogging.logger {}
-        val POLL_INTERVAL = 20.milliseconds
         val WATCH_RETRY = 1.seconds
     }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationPublisher.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationPublisher.kt
@@ -20,6 +20,7 @@
 import io.jasmineford.store.describe
 import io.jasmineford.store.putOnce
 import io.jasmineford.store.storeJson
+import java.util.concurrent.ConcurrentHashMap
 
 /** Why a publication was not accepted. */
 sealed interface PublishError {
@@ -63,12 +64,26 @@
 ) {
     private val reader = ConfigurationReader(store)
 
+    /** Digests of requests of which a head was sent and whose outcome was never read. */
+    private val unsettled: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
     /** Applies [request] and returns the generation with which it came into force. */
     suspend fun publish(request: PublishRequest): Result<Long, PublishError> {
+        val result = attempts(request)
+        val error = result.getError()
+        val saysNothingChanged = error is PublishError.Unavailable || error is PublishError.NotEntitled
+        if (saysNothingChanged && request.digest in unsettled) {
+            return Err(PublishError.Unknown("an earlier attempt may have taken effect"))
+        }
+        if (error !is PublishError.Unknown) unsettled -= request.digest
+        return result
+    }
+
+    private suspend fun attempts(request: PublishRequest): Result<Long, PublishError> {
         repeat(MAX_ATTEMPTS) {
             attempt(request)?.let { return it }
         }
-        return Err(PublishError.LostRace(current = 0, names = listOf("too many changes at once")))
+        return Err(PublishError.Unavailable("too many changes at once"))
     }
 
     /** One attempt; null when another publication won and a new attempt tells more. */
@@ -98,7 +113,9 @@
         for ((key, text) in encoded.written) {
             createOnce(key, text)?.let { return Err(PublishError.Unavailable(it.describe())) }
         }
+        val isFirst = unsettled.add(request.digest)
         val outcome = headWriter.write(encoded.head, stored?.version ?: ABSENT_VERSION)
+        if (outcome == HeadOutcome.NotSent && isFirst) unsettled -= request.digest
         return when (outcome) {
             HeadOutcome.Accepted -> Ok(after.generation).also { encoded.expired.forEach { key -> remove(key) } }
             HeadOutcome.Lost -> null
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/PublishingRight.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/PublishingRight.kt
@@ -56,6 +56,9 @@
         if (!isLeaseValid() || !sync.members.isSelfListed) return "this VM has no valid lease yet"
         return readLeases(store).fold(
             success = { leases ->
+                // A list that shows the own lease shows every VM that doesn't see it in its own first list.
+                val own = sync.members.incarnation()
+                if (leases.none { it.identity.vm == sync.vm && it.incarnation == own }) return "the own lease is not listed yet"
                 val gone = goneVms(leases.filter { it.isRevoked }.map { it.identity.vm })
                 val others = leases.filter { it.identity.vm !in gone }.map { it.toMember() }
                 introduce(others)
--- /dev/null
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/control/ConfigurationWorld.kt
@@ -0,0 +1,216 @@
+package io.jasmineford.daemon.control
+
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import io.jasmineford.core.config.ClientAccount
+import io.jasmineford.core.config.Configuration
+import io.jasmineford.core.config.ConfigurationHolder
+import io.jasmineford.core.config.ConfigurationIndex
+import io.jasmineford.core.config.ConfigurationSync
+import io.jasmineford.core.config.FleetMember
+import io.jasmineford.core.config.PeerView
+import io.jasmineford.core.config.SyncSettings
+import io.jasmineford.core.config.OrganisationConfiguration
+import io.jasmineford.core.config.decodeConfiguration
+import io.jasmineford.core.lease.Lease
+import io.jasmineford.core.lease.VmIdentity
+import io.jasmineford.core.lease.leaseJson
+import io.jasmineford.core.lease.leaseKey
+import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.store.StoreError
+import io.jasmineford.store.StoredObject
+import io.jasmineford.store.acceptOwnWrite
+import io.jasmineford.store.storeJson
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Several VMs in virtual time with the real driver, publisher and state machines. */
+internal class ConfigurationWorld(
+    private val scope: CoroutineScope,
+    private val dispatcher: CoroutineDispatcher,
+    val random: Random,
+    zones: List<String>,
+    vmsPerZone: Int,
+    val now: () -> Duration,
+) {
+    val platform = FaultyPlatform(scope, random, now)
+    val severed = HashSet<Set<String>>()
+    val vms: Map<String, WorldVm> = zones.flatMap { zone -> (1..vmsPerZone).map { "$zone-$it" to zone } }
+        .associate { (name, zone) -> name to WorldVm(this, name, zone) }
+    private var nonce = 0
+    private var incarnation = 0L
+
+    fun nextNonce(): String = "n${nonce++}"
+
+    fun nextIncarnation(): Long = ++incarnation
+
+    fun newScope(): CoroutineScope = CoroutineScope(SupervisorJob(scope.coroutineContext[Job]) + dispatcher)
+
+    fun dispatcher(): CoroutineDispatcher = dispatcher
+
+    /** Sends [view]; requests and replies may be lost, late or refused. */
+    suspend fun exchange(from: WorldVm, self: FleetMember, peer: FleetMember, view: PeerView): PeerView? {
+        delay(random.nextLong(1, LATENCY_MS).milliseconds)
+        val target = vms.getValue(peer.vm)
+        val process = target.process ?: return null
+        if (setOf(from.name, peer.vm) in severed || process.address != peer.peerAddress) return null
+        if (isFault()) {
+            delay(LATE)
+            process.driver.answer(self, view)
+            return null
+        }
+        val reply = process.driver.answer(self, view)
+        delay(random.nextLong(1, LATENCY_MS).milliseconds)
+        return if (isFault()) null else reply
+    }
+
+    /** What the store holds for [generation]. */
+    fun published(generation: Long): Pair<ConfigurationIndex, Configuration> {
+        val (_, head) = platform.accepted.getValue(generation)
+        val index = storeJson.decodeFromString<ConfigurationIndex>(platform.objects.peek(head.index)!!.value)
+        val pieces = index.pieces.map {
+            storeJson.decodeFromString<io.jasmineford.core.config.ConfigurationPiece>(platform.objects.peek(it)!!.value)
+        }
+        return index to decodeConfiguration(index, pieces)
+    }
+
+    /** Newest generation that was accepted before [time]. */
+    fun newestAcceptedBefore(time: Duration): Long =
+        platform.accepted.entries.lastOrNull { it.value.first < time }?.key ?: 0
+
+    fun isFault() = random.nextDouble() < platform.faultRate
+
+    private companion object {
+        const val LATENCY_MS = 15L
+        val LATE = 600.milliseconds
+    }
+}
+
+/** One VM: at most one process at a time, with a lease that it renews and that the world revokes when it stays unchanged. */
+internal class WorldVm(
+    private val world: ConfigurationWorld,
+    val name: String,
+    val zone: String,
+) {
+    var process: WorldProcess? = null
+        private set
+
+    fun start() {
+        world.platform.vms += name
+        process = WorldProcess(world, this).also { it.start() }
+    }
+
+    fun crash() {
+        process?.scope?.cancel()
+        process = null
+    }
+}
+
+internal class WorldProcess(private val world: ConfigurationWorld, private val vm: WorldVm) {
+    val scope = world.newScope()
+    private var incarnation = world.nextIncarnation()
+    val address = "${vm.name}:$incarnation"
+    private val self = FleetMember(vm.name, vm.zone, address)
+    private val clock = MonotonicClock { world.now() }
+    private val settings = SyncSettings(listEvery = 2.seconds, writeLateness = WRITE_LATENESS)
+    val holder = ConfigurationHolder(clock, settings.maxProofAge)
+    private val sync = ConfigurationSync(self, settings, clock, holder)
+    private val store = FaultyStore(world.platform, vm.name)
+    private var leaseVersion = 0L
+    private var validUntil = Duration.ZERO
+    val seen = mutableListOf<Configuration>()
+    private val exchange: ViewExchange = { peer, view -> world.exchange(vm, self, peer, view) }
+    private val right = PublishingRight(world.dispatcher(), store, sync, exchange, { world.now() < validUntil })
+    val driver = ConfigurationDriver(scope, store, sync, exchange, { incarnation }, { seen += it }, POLL_EVERY)
+    val publisher = ConfigurationPublisher(
+        store,
+        world::nextNonce,
+        right,
+        HeadWriter(scope, store, clock, right, world::nextNonce, { driver.perform(it) }, WRITE_LATENESS),
+    )
+
+    fun start() {
+        driver.start()
+        scope.launch { keepLease() }
+    }
+
+    private suspend fun keepLease() {
+        var renewal = 0L
+        while (true) {
+            val identity = VmIdentity(vm.name, vm.zone, "c", address, "o")
+            val text = leaseJson.encodeToString(Lease(identity, incarnation, renewal++))
+            val nonce = world.nextNonce()
+            val sentAt = world.now()
+            acceptOwnWrite(store.put(leaseKey(vm.name), text, leaseVersion, nonce), nonce).fold(
+                success = {
+                    leaseVersion = it.version
+                    validUntil = sentAt + TIME_TO_LIVE
+                },
+                failure = { refused(it) },
+            )
+            delay(if (world.now() < validUntil) RENEW_EVERY else RETRY_EVERY)
+        }
+    }
+
+    /** A conflict means that another VM revoked the lease, or that a write without a reply took effect. */
+    private fun refused(error: StoreError) {
+        if (error !is StoreError.Conflict) return
+        leaseVersion = error.current?.version ?: 0
+        val stored = error.current?.let { leaseJson.decodeFromString<Lease>(it.value) }
+        if (stored != null && (stored.isRevoked || stored.incarnation != incarnation)) {
+            incarnation = world.nextIncarnation()
+            validUntil = Duration.ZERO
+        }
+    }
+
+    companion object {
+        val POLL_EVERY = 50.milliseconds
+        val TIME_TO_LIVE = 6.seconds
+        val RENEW_EVERY = 1.seconds
+        val RETRY_EVERY = 200.milliseconds
+
+        /** Above the 4 s after which [FaultyStore] applies a late write, plus the attempts that were made meanwhile. */
+        val WRITE_LATENESS = 8.seconds
+    }
+}
+
+/** Revokes leases that stay unchanged for the time to live and a margin, as another VM would. */
+internal suspend fun ConfigurationWorld.revokeSilentLeases() {
+    val since = HashMap<String, Pair<StoredObject, Duration>>()
+    while (true) {
+        for (name in vms.keys) {
+            val stored = platform.objects.peek(leaseKey(name)) ?: continue
+            val known = since[name]?.takeIf { it.first.version == stored.version } ?: (stored to now()).also { since[name] = it }
+            val lease = leaseJson.decodeFromString<Lease>(stored.value)
+            val isSilent = now() - known.second > WorldProcess.TIME_TO_LIVE + 1.seconds && !lease.isRevoked
+            if (isSilent) {
+                val text = leaseJson.encodeToString(lease.copy(isRevoked = true))
+                platform.put(stored.key, text, stored.version, nextNonce()).get()
+            }
+        }
+        delay(500.milliseconds)
+    }
+}
+
+/** Adds account `a<number>` or, when it exists, replaces its rate; always by two accounts that must change together. */
+internal fun change(number: Int): (Configuration) -> Result<Configuration, Nothing> = { before ->
+    val accounts = listOf("left", "right").associateWith { ClientAccount(it, ratePerSecond = number.toDouble(), burst = 1.0) }
+    val filler = (before.organisations["org"]?.accounts.orEmpty()) + ("a$number" to ClientAccount("a$number", 1.0, 1.0))
+    Ok(
+        before.copy(
+            generation = before.generation + 1,
+            organisations = mapOf("org" to OrganisationConfiguration(accounts = filler + accounts)),
+        ),
+    )
+}
