--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ReleaseCheck.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ReleaseCheck.kt
@@ -3,11 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
-import io.jasmineford.core.key.isKeyDigest
 
 /**
  * Checks [note] as a whole against [current] and returns the configuration that it leads to, or every error with its
- * path.
+ * path. With an error nothing of the note applies.
  */
 fun checkReleaseNote(note: ReleaseNote, current: Configuration): Result<Configuration, List<ReleaseError>> {
     val before = current.organisations[note.organisation] ?: OrganisationConfiguration()
@@ -15,6 +14,8 @@
     if (note.buildsOn != current.generation) {
         errors += ReleaseError("buildsOn", "expected ${current.generation}, actual ${note.buildsOn}")
     }
+    errors.addNameErrors("organisation", note.organisation)
+    if (note.isEmpty) errors += ReleaseError("added", "the note adds, changes and withdraws nothing")
     val after = OrganisationConfiguration(
         accounts = errors.merge("accounts", before.accounts, note, { it.accounts }, { it.accounts }) { it.name },
         keys = errors.merge("keys", before.keys, note, { it.keys }, { it.keys }) { it.name },
@@ -23,13 +24,19 @@
         },
         routes = errors.merge("routes", before.routes, note, { it.routes }, { it.routes }) { it.name },
     )
-    errors += referenceErrors(after)
-    errors += rangeErrors(after)
-    if (errors.isNotEmpty()) return Err(errors)
+    errors += itemErrors("added", note.added)
+    errors += itemErrors("changed", note.changed)
+    errors += referenceErrors(note, after)
     val organisations = current.organisations + (note.organisation to after)
+    errors += clashErrors(note, organisations)
+    if (errors.isNotEmpty()) return Err(errors.distinct())
     return Ok(current.copy(generation = current.generation + 1, organisations = organisations))
 }
 
+/** A note is one document for one organisation, so that names of two organisations never mix. */
+private val ReleaseNote.isEmpty: Boolean
+    get() = added == ReleaseItems() && changed == ReleaseItems() && withdrawn == WithdrawnNames()
+
 private fun <T> MutableList<ReleaseError>.merge(
     kind: String,
     before: Map<String, T>,
@@ -38,62 +45,84 @@
     withdrawn: (WithdrawnNames) -> List<String>,
     nameOf: (T) -> String,
 ): Map<String, T> {
-    val after = before.toMutableMap()
-    for (name in withdrawn(note.withdrawn)) {
-        if (after.remove(name) == null) add(ReleaseError("withdrawn.$kind[$name]", "no such name"))
-    }
-    for (item in items(note.changed)) {
-        val name = nameOf(item)
-        if (name !in after) add(ReleaseError("changed.$kind[$name]", "no such name"))
-        after[name] = item
+    val removed = withdrawn(note.withdrawn)
+    val changed = items(note.changed)
+    val added = items(note.added)
+    addUses(kind, "withdrawn" to removed, "changed" to changed.map(nameOf), "added" to added.map(nameOf))
+    for (name in removed.filter { it !in before }) add(ReleaseError("withdrawn.$kind[$name]", "no such name"))
+    for (name in changed.map(nameOf).filter { it !in before }) add(ReleaseError("changed.$kind[$name]", "no such name"))
+    for (name in added.map(nameOf).filter { it in before }) {
+        add(ReleaseError("added.$kind[$name]", "the name exists already"))
     }
-    for (item in items(note.added)) {
-        val name = nameOf(item)
-        if (name in after) add(ReleaseError("added.$kind[$name]", "the name exists already"))
-        after[name] = item
+    return before - removed.toSet() + (changed + added).associateBy(nameOf)
+}
+
+/** Each name may occur once in a note: twice in one list, or in two lists, leaves open what the operator wants. */
+private fun MutableList<ReleaseError>.addUses(kind: String, vararg lists: Pair<String, List<String>>) {
+    val uses = lists.flatMap { (list, names) -> names.map { it to list } }.groupBy({ it.first }, { it.second })
+    for ((name, places) in uses.filterValues { it.size > 1 }) {
+        add(ReleaseError("${places.first()}.$kind[$name]", "the name occurs ${places.size} times: ${places.joinToString()}"))
     }
-    return after
 }
 
-private fun referenceErrors(content: OrganisationConfiguration): List<ReleaseError> = buildList {
-    for (key in content.keys.values) {
-        if (key.account !in content.accounts) {
-            add(ReleaseError("keys[${key.name}].account", "no account ${key.account}"))
-        }
+/** References to names that don't exist after the note. The path names the item of the note that causes the fault. */
+private fun referenceErrors(note: ReleaseNote, after: OrganisationConfiguration): List<ReleaseError> = buildList {
+    fun check(item: String, field: String, target: String, exists: Boolean, withdrawn: List<String>, kind: String) {
+        if (exists) return
+        if (target in withdrawn) add(ReleaseError("withdrawn.$kind[$target]", "still used by $item.$field"))
+        placesOf(note, item).forEach { add(ReleaseError("$it.$field", "no ${kind.removeSuffix("s")} $target")) }
     }
-    for (route in content.routes.values) {
-        if (route.deployment !in content.deployments) {
-            add(ReleaseError("routes[${route.name}].deployment", "no deployment ${route.deployment}"))
-        }
-        for (account in route.accounts.filter { it !in content.accounts }) {
-            add(ReleaseError("routes[${route.name}].accounts", "no account $account"))
+    for (key in after.keys.values) {
+        val exists = key.account in after.accounts
+        check("keys[${key.name}]", "account", key.account, exists, note.withdrawn.accounts, "accounts")
+    }
+    for (route in after.routes.values) {
+        val item = "routes[${route.name}]"
+        val exists = route.deployment in after.deployments
+        check(item, "deployment", route.deployment, exists, note.withdrawn.deployments, "deployments")
+        for (account in route.accounts) {
+            check(item, "accounts", account, account in after.accounts, note.withdrawn.accounts, "accounts")
         }
     }
 }
 
-private fun rangeErrors(content: OrganisationConfiguration): List<ReleaseError> = buildList {
-    for (account in content.accounts.values) {
-        val path = "accounts[${account.name}]"
-        if (account.ratePerSecond !in RATE_RANGE) {
-            add(ReleaseError("$path.ratePerSecond", "expected $RATE_RANGE, actual ${account.ratePerSecond}"))
-        }
-        if (account.burst !in BURST_RANGE) {
-            add(ReleaseError("$path.burst", "expected $BURST_RANGE, actual ${account.burst}"))
-        }
+/** Where [item] occurs in the note, for example `added.routes[chat]`. */
+private fun placesOf(note: ReleaseNote, item: String): List<String> = listOf("added" to note.added, "changed" to note.changed)
+    .filter { (_, items) ->
+        items.keys.any { "keys[${it.name}]" == item } || items.routes.any { "routes[${it.name}]" == item }
     }
-    for (key in content.keys.values) {
-        if (!key.digest.startsWith(DIGEST_PREFIX) || !isKeyDigest(key.digest.removePrefix(DIGEST_PREFIX))) {
-            add(ReleaseError("keys[${key.name}].digest", "expected sha256: and 64 lower-case hexadecimal digits"))
+    .map { (list, _) -> "$list.$item" }
+
+/** Keys and addresses that can't be told apart over all organisations. */
+private fun clashErrors(
+    note: ReleaseNote,
+    organisations: Map<String, OrganisationConfiguration>,
+): List<ReleaseError> = buildList {
+    val owners = organisations.flatMap { (name, content) -> content.keys.values.map { it.digest to "$name/keys[${it.name}]" } }
+        .groupBy({ it.first }, { it.second })
+    for ((list, items) in listOf("added" to note.added, "changed" to note.changed)) {
+        for (key in items.keys) {
+            val others = owners[key.digest].orEmpty() - "${note.organisation}/keys[${key.name}]"
+            if (others.isNotEmpty()) {
+                add(ReleaseError("$list.keys[${key.name}].digest", "the same key is ${others.joinToString()}"))
+            }
         }
+        for (deployment in items.deployments) addZoneClashes(list, deployment, organisations)
     }
-    for (deployment in content.deployments.values) {
-        for (endpoint in deployment.endpoints.filter { it.window !in WINDOW_RANGE }) {
-            val path = "deployments[${deployment.name}].endpoints[${endpoint.name}].window"
-            add(ReleaseError(path, "expected $WINDOW_RANGE, actual ${endpoint.window}"))
+}
+
+/** One address can't be in two zones: taking one of them out would leave it in service. */
+private fun MutableList<ReleaseError>.addZoneClashes(
+    list: String,
+    deployment: Deployment,
+    organisations: Map<String, OrganisationConfiguration>,
+) {
+    val all = organisations.values.flatMap { it.deployments.values }.flatMap { it.endpoints }
+    for (endpoint in deployment.endpoints) {
+        val zones = all.filter { it.address == endpoint.address && it.zone != endpoint.zone }.map { it.zone }.distinct()
+        if (zones.isNotEmpty()) {
+            val path = "$list.deployments[${deployment.name}].endpoints[${endpoint.name}].zone"
+            add(ReleaseError(path, "expected ${zones.joinToString()} as elsewhere for ${endpoint.address}, actual ${endpoint.zone}"))
         }
     }
 }
-
-private val RATE_RANGE = 0.01..1_000_000.0
-private val BURST_RANGE = 1.0..1_000_000.0
-private val WINDOW_RANGE = 1..10_000
