--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/FleetSimulation.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/FleetSimulation.kt
@@ -48,8 +48,8 @@
             engine.cacheEvents(now).forEach {
                 product.scheduler.caches.reported(endpoint, programOf(it.program), it.tokens.toLong())
             }
-            val use = engine.loadReport(now).cachedTokens.toDouble() / workload.profile.cacheTokens
-            product.scheduler.caches.memoryReported(endpoint, use)
+            val used = engine.loadReport(now).cachedTokens
+            product.scheduler.caches.memoryReported(endpoint, used, workload.profile.cacheTokens)
         }
         perform(product.scheduler.caches.relievePressure())
         if (openPrograms > 0) events.after(REPORT_INTERVAL) { report(product) }
@@ -113,7 +113,7 @@
         calls.remove(signal.job)
         result.calls += CallResult(call.run.plan.id, call.submittedAt, call.prompt, call.turn, signal.cachedTokens)
         val usage = Usage(call.prompt.tokens.toLong(), call.turn.outputTokens.toLong(), signal.cachedTokens.toLong())
-        dispatch(variant.finished(signal.job, usage))
+        dispatch(variant.finished(signal.job, usage, call.turn.pause))
         call.run.turnEnded(call.turn)
     }
 
--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/MemoryScenario.kt
@@ -0,0 +1,30 @@
+package io.jasmineford.bench.endpoint
+
+import io.jasmineford.bench.Measurement
+import io.jasmineford.bench.PRODUCT_VARIANT
+import io.jasmineford.bench.Scenario
+import kotlin.time.Duration.Companion.seconds
+
+private const val NAME = "placement-small-memory"
+private const val WASTE_TO_OFFLINE = 1.2
+
+/** Cache memory that is smaller than the working set; the waste is compared with a replay that knows the future. */
+val memoryScenario: Scenario = Scenario(NAME, "Paused programs need more cache memory than the fleet has") { seed ->
+    val workload = generate("small-memory", shopSmallMemory, seed, profile = smallMemory)
+    runPlacement(workload, seed).flatMap { (variant, result) -> measures(variant, result, seed) }
+}
+
+private fun measures(variant: String, result: SimulationResult, seed: Long): List<Measurement> {
+    val offline = result.offlineWaste()
+    val figure = { measure: String, value: Double, unit: String, bound: Double? ->
+        Measurement(NAME, variant, measure, value, unit, bound.takeIf { variant == PRODUCT_VARIANT }, seed)
+    }
+    return listOf(
+        figure("p95-program-latency", result.p95Latency / 1.seconds, "s", null),
+        figure("p95-latency-to-lower-bound", result.p95Latency / result.workload.lowerBound(), "ratio", null),
+        figure("p95-first-token", result.firstTokens.p95() / 1.seconds, "s", null),
+        figure("wasted-cache-share", result.wasteShare, "share", null),
+        figure("offline-cache-share", offline.toDouble() / result.promptTokens, "share", null),
+        figure("wasted-cache-to-offline", result.wastedTokens.toDouble() / offline, "ratio", WASTE_TO_OFFLINE),
+    )
+}
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/Variant.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/Variant.kt
@@ -6,6 +6,7 @@
 import io.jasmineford.core.program.Usage
 import io.jasmineford.core.schedule.CacheDecision
 import io.jasmineford.core.schedule.CallScheduler
+import io.jasmineford.core.schedule.PauseKind
 import io.jasmineford.core.schedule.QueuedCall
 import io.jasmineford.core.schedule.ScheduleDecision
 import io.jasmineford.core.time.MonotonicClock
@@ -22,7 +23,7 @@
     fun firstToken(call: Long) = Unit
 
     /** Calls to dispatch after a call ended. */
-    fun finished(call: Long, usage: Usage): List<ScheduleDecision>
+    fun finished(call: Long, usage: Usage, pause: PauseKind): List<ScheduleDecision>
 
     /** Takes the end of a program; returns what happens to its caches. */
     fun ended(program: ProgramId): List<CacheDecision> = emptyList()
@@ -38,7 +39,7 @@
 
     override fun firstToken(call: Long) = scheduler.firstToken(call)
 
-    override fun finished(call: Long, usage: Usage) = scheduler.finished(call, usage)
+    override fun finished(call: Long, usage: Usage, pause: PauseKind) = scheduler.finished(call, usage, pause)
 
     override fun ended(program: ProgramId) = scheduler.programEnded(program)
 }
@@ -58,7 +59,7 @@
         return listOf(ScheduleDecision.Dispatch(call.id, endpoints[index]))
     }
 
-    override fun finished(call: Long, usage: Usage): List<ScheduleDecision> {
+    override fun finished(call: Long, usage: Usage, pause: PauseKind): List<ScheduleDecision> {
         running.remove(call)?.let { inFlight[it]-- }
         return emptyList()
     }
@@ -75,7 +76,7 @@
         return dispatch()
     }
 
-    override fun finished(call: Long, usage: Usage): List<ScheduleDecision> {
+    override fun finished(call: Long, usage: Usage, pause: PauseKind): List<ScheduleDecision> {
         running.remove(call)?.let { inFlight[it]-- }
         return dispatch()
     }
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/Workload.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/Workload.kt
@@ -3,6 +3,7 @@
 import io.jasmineford.core.config.Priority
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.program.ProgramId
+import io.jasmineford.core.schedule.PauseKind
 import io.jasmineford.standin.engine.EngineProfile
 import kotlin.math.ln
 import kotlin.random.Random
@@ -14,12 +15,14 @@
  *
  * @property newTokens prompt tokens that were in no call before.
  * @property pauseAfter time of the tool call or of the user until the next turn.
+ * @property pause who the next turn waits for.
  * @property subAgents programs that start after this turn; the next turn waits for all of them.
  */
 data class TurnPlan(
     val newTokens: Int,
     val outputTokens: Int,
     val pauseAfter: Duration,
+    val pause: PauseKind = PauseKind.TOOL,
     val subAgents: List<ProgramPlan> = emptyList(),
 )
 
@@ -45,6 +48,8 @@
  * Shape of one kind of program; figures are drawn anew for each program and turn.
  *
  * @property load offered work as a share of what the fleet does with full batches and a perfect cache.
+ * @property userShare share of turns after which the program waits for its user.
+ * @property userPause time that a user takes.
  * @property rateAt factor on the arrival rate over the run, from 0 to 1.
  */
 data class ProgramShape(
@@ -58,6 +63,8 @@
     val outputTokens: IntRange,
     val meanPause: Duration,
     val subAgentShare: Double = 0.0,
+    val userShare: Double = 0.0,
+    val userPause: ClosedRange<Duration> = 10.seconds..30.seconds,
     val load: Double = 0.8,
     val length: Duration = 240.seconds,
     val rateAt: (Double) -> Double = { 1.0 },
@@ -120,11 +127,17 @@
     turns = List(2) { turn(random, isFirst = it == 0) },
 )
 
-private fun ProgramShape.turn(random: Random, isFirst: Boolean) = TurnPlan(
-    newTokens = random.nextInt(if (isFirst) firstTokens else newTokens),
-    outputTokens = random.nextInt(outputTokens),
-    pauseAfter = exponential(random, meanPause / 1.seconds),
-)
+private fun ProgramShape.turn(random: Random, isFirst: Boolean): TurnPlan {
+    val isUser = userShare > 0 && random.nextDouble() < userShare
+    val turn = TurnPlan(
+        newTokens = random.nextInt(if (isFirst) firstTokens else newTokens),
+        outputTokens = random.nextInt(outputTokens),
+        pauseAfter = exponential(random, meanPause / 1.seconds),
+    )
+    if (!isUser) return turn
+    val span = userPause.endInclusive - userPause.start
+    return turn.copy(pauseAfter = userPause.start + span * random.nextDouble(), pause = PauseKind.USER)
+}
 
 private fun ProgramShape.pick(random: Random): String {
     val weights = accounts.indices.map(accountWeight)
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
@@ -71,14 +71,19 @@
         placement.firstToken(run.call.promptTokens - run.expectedCached, clock.now() - run.dispatchedAt)
     }
 
-    /** Frees the slot of a call that was dispatched. [usage] is null when the endpoint reported none. */
-    fun finished(call: Long, usage: Usage? = null): List<ScheduleDecision> {
+    /**
+     * Frees the slot of a call that was dispatched.
+     *
+     * @param usage null when the endpoint reported none.
+     * @param pause what the program waits for now.
+     */
+    fun finished(call: Long, usage: Usage? = null, pause: PauseKind = PauseKind.TOOL): List<ScheduleDecision> {
         val run = running.remove(call) ?: return emptyList()
         val now = clock.now()
         pools.update(run.slots) { inFlight-- }
         run.slots.served(now - run.dispatchedAt)
         if (usage != null) settle(run, usage, now)
-        run.call.program?.let { caches.pauses.answered(it, now) }
+        run.call.program?.let { caches.pauses.answered(it, pause, now) }
         return decide(run.call.deployment)
     }
 
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/EndpointSlots.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/EndpointSlots.kt
@@ -12,8 +12,7 @@
     var inFlight = 0
     var window = 0
 
-    /** Share of its cache memory in use as last reported. */
-    var memoryUse = 0.0
+    val memory = CacheMemory()
 
     /** Mean time that a call occupies a slot. */
     var meanService: Duration = INITIAL_SERVICE
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/PauseEstimate.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/PauseEstimate.kt
@@ -5,40 +5,57 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Expected time between a program's answer and its next call, from the program's own pauses and its account's. */
+/** What a program waits for after an answer. */
+enum class PauseKind {
+    /** A tool call that the answer asked for. */
+    TOOL,
+
+    /** The program's user. */
+    USER,
+}
+
+/**
+ * Expected time between a program's answer and its next call. Pauses for tools and for users differ by an order of
+ * magnitude, so they are learned apart, for each account.
+ */
 internal class PauseEstimate {
-    private val paused = LinkedHashMap<ProgramId, Duration>()
-    private val ofProgram = HashMap<ProgramId, Duration>()
-    private val ofAccount = HashMap<ScopedName, Duration>()
+    private val paused = LinkedHashMap<ProgramId, Pause>()
+    private val means = HashMap<Pair<ScopedName, PauseKind>, Duration>()
 
-    /** Programs with no call in flight and the times of their last answers, the longest paused first. */
-    val pausedSince: Map<ProgramId, Duration> get() = paused
+    /** Programs with no call in flight, the longest paused first. */
+    val programs: Set<ProgramId> get() = paused.keys
 
-    fun answered(program: ProgramId, now: Duration) {
+    fun answered(program: ProgramId, kind: PauseKind, now: Duration) {
         paused.remove(program)
-        paused[program] = now
+        paused[program] = Pause(kind, now)
     }
 
     fun called(program: ProgramId, now: Duration) {
-        val since = paused.remove(program) ?: return
-        val pause = now - since
-        val before = ofProgram[program] ?: pause
-        ofProgram[program] = before + (pause - before) * PROGRAM_RATE
-        val general = ofAccount[program.account] ?: pause
-        ofAccount[program.account] = general + (pause - general) * ACCOUNT_RATE
+        val pause = paused.remove(program) ?: return
+        val key = program.account to pause.kind
+        val mean = means[key] ?: (now - pause.since)
+        means[key] = mean + (now - pause.since - mean) * LEARNING_RATE
     }
 
     fun remove(program: ProgramId) {
         paused.remove(program)
-        ofProgram.remove(program)
     }
 
-    /** Expected length of a pause of [program]. */
-    fun of(program: ProgramId): Duration = ofProgram[program] ?: ofAccount[program.account] ?: INITIAL_PAUSE
+    /**
+     * Expected rest of the pause of [program]; negative when it is late. Infinite when it has paused more than
+     * [abandonedAfter] times as long as usual.
+     */
+    fun restOf(program: ProgramId, now: Duration, abandonedAfter: Double): Duration {
+        val pause = paused.getValue(program)
+        val expected = means[program.account to pause.kind] ?: INITIAL_PAUSE
+        val elapsed = now - pause.since
+        return if (elapsed > expected * abandonedAfter) Duration.INFINITE else expected - elapsed
+    }
+
+    private class Pause(val kind: PauseKind, val since: Duration)
 
     private companion object {
-        const val PROGRAM_RATE = 0.3
-        const val ACCOUNT_RATE = 0.05
+        const val LEARNING_RATE = 0.05
         val INITIAL_PAUSE = 5.seconds
     }
 }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/ProgramCaches.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/ProgramCaches.kt
@@ -24,9 +24,9 @@
         pools[endpoint.address]?.belief?.reported(program, tokens, clock.now())
     }
 
-    /** Takes the share of [endpoint]'s cache memory that its load report shows as used. */
-    fun memoryReported(endpoint: Endpoint, use: Double) {
-        pools[endpoint.address]?.memoryUse = use
+    /** Takes the cache memory in tokens that [endpoint]'s load report shows. */
+    fun memoryReported(endpoint: Endpoint, used: Long, capacity: Long) {
+        pools[endpoint.address]?.memory?.reported(used, capacity)
     }
 
     /** Forgets what [endpoint] held, as after a restart. */
@@ -41,17 +41,20 @@
         placement.ranAt(program, slots)
     }
 
-    /** Programs whose caches should leave engines that are short of memory, at most one for each engine. */
+    /** Paused programs whose caches should leave engines that are short of memory. */
     fun relievePressure(): List<CacheDecision> {
         val now = clock.now()
-        val pressed = pools.usable().filter { it.memoryUse > settings.memoryHigh }
+        val pressed = pools.usable().filter { use(it, now) > settings.memoryHigh }
         if (pressed.isEmpty()) return emptyList()
-        val byHome = pauses.pausedSince.keys.groupBy { placement.homeOf(it) }
-        return pressed.mapNotNull { slots ->
-            val program = byHome[slots].orEmpty()
+        val byHome = pauses.programs.groupBy { placement.homeOf(it) }
+        return pressed.flatMap { slots ->
+            val candidates = byHome[slots].orEmpty()
                 .filter { slots.belief.holds(it) }
-                .maxByOrNull { restOfPause(it, now) }
-            program?.let { relieve(it, slots, now) }
+                .sortedByDescending { restOfPause(it, now) }
+            candidates.asSequence()
+                .takeWhile { use(slots, now) > settings.memoryHigh && restOfPause(it, now) > settings.shortPause }
+                .map { relieve(it, slots, now) }
+                .toList()
         }
     }
 
@@ -64,20 +67,20 @@
     }
 
     private fun relieve(program: ProgramId, slots: EndpointSlots, now: Duration): CacheDecision {
+        val tokens = slots.belief.tokensOf(program)
+        slots.memory.freed(tokens, now)
         slots.belief.remove(program)
-        val room = pools.usable().filter { it.memoryUse < settings.memoryHigh - ROOM_MARGIN }.minByOrNull { it.memoryUse }
+        val room = pools.usable()
+            .filter { use(it, now) < settings.memoryHigh - ROOM_MARGIN }
+            .minByOrNull { use(it, now) }
         val isAbandoned = restOfPause(program, now).isInfinite()
         if (room == null || isAbandoned) return CacheDecision.Drop(program, slots.endpoint)
         return CacheDecision.Export(program, slots.endpoint, room.endpoint)
     }
 
-    /** Infinite for a program that has paused much longer than it usually does. */
-    private fun restOfPause(program: ProgramId, now: Duration): Duration {
-        val paused = now - pauses.pausedSince.getValue(program)
-        val expected = pauses.of(program)
-        if (paused > expected * settings.abandonedAfter) return Duration.INFINITE
-        return expected - paused
-    }
+    private fun use(slots: EndpointSlots, now: Duration) = slots.memory.use(now, settings.reportLag)
+
+    private fun restOfPause(program: ProgramId, now: Duration) = pauses.restOf(program, now, settings.abandonedAfter)
 
     private companion object {
         const val ROOM_MARGIN = 0.15
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/ScheduleSettings.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/ScheduleSettings.kt
@@ -16,6 +16,8 @@
  * @property scanLimit waiting calls that one decision looks at when the first ones prefer to wait for their endpoint.
  * @property candidateLimit least loaded endpoints that placement compares, besides those that hold the program's prefix.
  * @property memoryHigh share of an endpoint's cache memory above which paused programs are exported or dropped.
+ * @property shortPause expected rest of a pause up to which a cache is held in any case.
+ * @property reportLag age that an engine's load report may have.
  * @property abandonedAfter multiple of the expected pause after which a paused program counts as abandoned.
  */
 data class ScheduleSettings(
@@ -26,7 +28,9 @@
     val scanLimit: Int = 64,
     val candidateLimit: Int = 8,
     val initialPrefillPerToken: Duration = 0.05.milliseconds,
-    val memoryHigh: Double = 0.9,
+    val memoryHigh: Double = 0.85,
+    val shortPause: Duration = 2.seconds,
+    val reportLag: Duration = 2.seconds,
     val abandonedAfter: Double = 6.0,
 )
 
