Lend endpoint windows from one owner with slow start

Cause: each VM filled the whole configured window of each endpoint, so that six VMs together sent six times as much, and a cold endpoint got the same load as a warm one. A new owner waits for a load report made after the old owner's right ended and counts what it shows as taken.

--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/endpoint/WindowBorrower.kt
@@ -0,0 +1,103 @@
+package io.jasmineford.core.endpoint
+
+import io.jasmineford.core.limit.SliceGrant
+import kotlin.time.Duration
+
+/** A message to the owner of a window. */
+sealed interface WindowMessage {
+    /** Request for up to [slots]; the reply goes to [WindowBorrower.granted]. */
+    data class Borrow(val number: Long, val slots: Int) : WindowMessage
+
+    /** Request to start calls on [slice] for longer; the reply goes to [WindowBorrower.extended]. */
+    data class Extend(val slice: Long) : WindowMessage
+
+    /** End of [slice]. Repeated until the owner confirms it by [WindowBorrower.returned]. */
+    data class Return(val slice: Long) : WindowMessage
+}
+
+/** Borrower's side of one endpoint's window on one VM. */
+class WindowBorrower(private val settings: WindowSettings) {
+    private val held = LinkedHashMap<Long, Held>()
+    private val returning = LinkedHashMap<Long, Duration>()
+    private val sentAt = HashMap<Long, Duration>()
+    private var number = 0L
+    private var nextBorrow = Duration.ZERO
+
+    /** Slots in use and free slots on which a call may start at [now]. */
+    fun slots(now: Duration): Int = held.values.sumOf { it.inUse + it.free(now) }
+
+    /** Takes a slot for a call that starts now and returns its slice; null when there is none. */
+    fun take(now: Duration): Long? {
+        val slice = held.values.firstOrNull { it.free(now) > 0 } ?: return null
+        slice.inUse++
+        return slice.id
+    }
+
+    /** Frees a slot of [slice] after its call has ended at the endpoint. */
+    fun release(now: Duration, slice: Long) {
+        val entry = held[slice] ?: return
+        entry.inUse--
+        entry.usedAt = now
+    }
+
+    /** Messages that are due. [waiting] is the number of calls that could use a slot now. */
+    fun poll(now: Duration, waiting: Int): List<WindowMessage> = buildList {
+        for (slice in held.values.filter { it.inUse == 0 && it.isDone(now, waiting) }) {
+            held.remove(slice.id)
+            returning[slice.id] = Duration.ZERO
+        }
+        for (id in returning.keys.filter { now >= returning.getValue(it) }) {
+            returning[id] = now + settings.patience
+            add(WindowMessage.Return(id))
+        }
+        val expiring = held.values.filter { it.endsAt - now < settings.startValid / 2 && now >= it.nextExtend }
+        for (slice in expiring.filter { waiting > 0 || it.inUse > 0 }) {
+            slice.nextExtend = now + settings.patience
+            slice.extendSentAt = now
+            add(WindowMessage.Extend(slice.id))
+        }
+        val missing = waiting - held.values.sumOf { it.free(now) }
+        if (missing > 0 && now >= nextBorrow) {
+            nextBorrow = now + settings.patience
+            sentAt[++number] = now
+            add(WindowMessage.Borrow(number, missing))
+        }
+    }
+
+    /** Takes the reply to request [number]; null when there is none. A late reply is taken too. */
+    fun granted(now: Duration, number: Long, grant: SliceGrant?) {
+        val sent = sentAt.remove(number) ?: return
+        if (number == this.number) nextBorrow = if (grant?.slice != null) now else now + settings.retryEvery
+        val slice = grant?.slice ?: return
+        held[slice.id] = Held(slice.id, slice.units.toInt(), endsAt = sent + slice.valid, usedAt = now)
+    }
+
+    /** Takes the reply to [WindowMessage.Extend]; null when the owner refused. */
+    fun extended(slice: Long, valid: Duration?) {
+        val entry = held[slice] ?: return
+        if (valid != null) entry.endsAt = maxOf(entry.endsAt, entry.extendSentAt + valid)
+    }
+
+    /** Takes the owner's confirmation that [slice] came back. */
+    fun returned(slice: Long) {
+        returning.remove(slice)
+    }
+
+    /** Forgets slices of the owner before; running calls go on, and the new owner sees them in the load report. */
+    fun ownerChanged() {
+        held.values.forEach { it.endsAt = Duration.ZERO }
+        returning.clear()
+        nextBorrow = Duration.ZERO
+    }
+
+    private inner class Held(val id: Long, val units: Int, var endsAt: Duration, var usedAt: Duration) {
+        var inUse = 0
+        var nextExtend = Duration.ZERO
+        var extendSentAt = Duration.ZERO
+
+        fun free(now: Duration) = if (now < endsAt) units - inUse else 0
+
+        fun isDone(now: Duration, waiting: Int) =
+            now >= endsAt || waiting == 0 && now - usedAt >= settings.idleReturn
+    }
+}
--- /dev/null
+++ b/jasmineford-core/src/test/kotlin/io/jasmineford/core/endpoint/WindowTest.kt
@@ -0,0 +1,159 @@
+package io.jasmineford.core.endpoint
+
+import io.jasmineford.core.time.VirtualClock
+import io.jasmineford.standin.engine.EngineJob
+import io.jasmineford.standin.engine.EngineProfile
+import io.jasmineford.standin.engine.EnginePrompt
+import io.jasmineford.standin.engine.EngineSignal
+import io.jasmineford.standin.engine.FakeEngine
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class WindowTest {
+    /**
+     * Guards against a cold endpoint that falls over: six VMs send at once, messages are lost, late and repeated, a VM
+     * pauses with calls in flight, and the owner changes without a hand-over.
+     */
+    @Test
+    fun `a cold endpoint never has more in flight than its ramp allows`() {
+        var answers = 0
+        for (seed in 1L..60L) {
+            val fleet = WindowFleet(seed)
+            fleet.run(40.seconds)
+            assertEquals(0, fleet.engine.crashes, "seed $seed: the endpoint fell over")
+            answers += fleet.answers
+        }
+        assertTrue(answers > 60 * 50, "expected the ramp to be used, actual $answers answers in 60 runs")
+    }
+
+    /** Guards against slow recognition of an endpoint that turned cold without warning. */
+    @Test
+    fun `sudden cold is recognised within three answers and a steady endpoint keeps its window`() {
+        for (seed in 1L..50L) {
+            val random = Random(seed)
+            val window = EndpointWindow(WindowSettings(), max = 16)
+            fun sample(factor: Double): AnswerSample {
+                val uncached = random.nextLong(100, 2_000)
+                val noise = random.nextDouble(0.7, 1.4)
+                return AnswerSample((10.milliseconds + 0.05.milliseconds * uncached.toDouble()) * factor * noise, 14.milliseconds * factor * noise, uncached)
+            }
+            repeat(400) { window.answered(sample(1.0)) }
+            assertEquals(16, window.size, "seed $seed: expected the whole window at a steady endpoint")
+            repeat(WindowSettings().coldAfterAnswers) { window.answered(sample(5.0)) }
+            assertEquals(2, window.size, "seed $seed: expected the cold window after three slow answers")
+        }
+    }
+}
+
+/** Six VMs, one owner after another and one cold engine, with 5 ms ticks. */
+private class WindowFleet(private val seed: Long) {
+    private val settings = WindowSettings(callLimit = 10.seconds)
+    private val random = Random(seed)
+    private val clock = VirtualClock()
+    val engine = FakeEngine("e", EngineProfile(reportLag = 1.seconds), Random(seed), isCold = true)
+    private val borrowers = List(6) { WindowBorrower(settings) }
+    private val pausedUntil = Array(6) { Duration.ZERO }
+    private val mail = mutableListOf<Pair<Duration, () -> Unit>>()
+    private val running = HashMap<Long, Triple<Int, Int, Long>>()
+    private var generation = 0
+    private var owner = WindowOwner(settings, max = 16, startedAt = Duration.ZERO)
+    private val longEvery = if (seed % 2 == 0L) 10 else 3
+    private var rightUntil = random.nextInt(500, 18_000).milliseconds
+    private var nextJob = 0L
+    var answers = 0
+
+    fun run(length: Duration) {
+        while (clock.now() < length) {
+            clock.advance(5.milliseconds)
+            deliver()
+            engine.advance(clock.now()).forEach(::take)
+            if (clock.now().inWholeMilliseconds % 500 == 0L) {
+                owner.loadReported(clock.now(), engine.loadReport(clock.now()).let { it.running + it.waiting })
+            }
+            if (clock.now() >= rightUntil) changeOwner()
+            borrowers.indices.filter { clock.now() >= pausedUntil[it] }.forEach(::act)
+            if (random.nextInt(2_000) == 0) pausedUntil[random.nextInt(6)] = clock.now() + random.nextInt(8).seconds
+        }
+    }
+
+    /** The owner before stops without a hand-over; its right has ended. VMs learn of it at different times. */
+    private fun changeOwner() {
+        generation++
+        owner = WindowOwner(settings, max = 16, startedAt = clock.now(), firstId = generation * IDS)
+        rightUntil = clock.now() + random.nextInt(6_000, 18_000).milliseconds
+        borrowers.forEach { borrower -> post { borrower.ownerChanged() } }
+    }
+
+    private fun act(vm: Int) {
+        val borrower = borrowers[vm]
+        while (true) {
+            val slice = borrower.take(clock.now()) ?: break
+            val id = nextJob++
+            running[id] = Triple(vm, generation, slice)
+            // A decision reaches the endpoint a little later.
+            val owning = owner.takeIf { slice / IDS == generation.toLong() }
+            mail += clock.now() + random.nextInt(30).milliseconds to { submit(id, owning) }
+        }
+        borrower.poll(clock.now(), waiting = 5).forEach { message -> send(vm, borrower, message, generation) }
+    }
+
+    private fun submit(id: Long, owning: WindowOwner?) {
+        engine.submit(clock.now(), job(id))
+        val size = owning?.window?.size ?: return
+        assertTrue(engine.inFlight <= size, "seed $seed: ${engine.inFlight} in flight, ramp $size at ${clock.now()}")
+    }
+
+    private fun send(vm: Int, borrower: WindowBorrower, message: WindowMessage, sentTo: Int) = post {
+        if (sentTo != generation) return@post
+        val now = clock.now()
+        when (message) {
+            is WindowMessage.Borrow -> {
+                val grant = owner.borrow(now, "vm$vm", message.slots, rightUntil - now)
+                post { if (sentTo == generation) borrower.granted(clock.now(), message.number, grant) }
+            }
+
+            is WindowMessage.Extend -> {
+                val slice = owner.extend(now, message.slice, rightUntil - now)
+                post { borrower.extended(message.slice, slice?.valid) }
+            }
+
+            is WindowMessage.Return -> {
+                owner.giveBack(now, message.slice)
+                post { borrower.returned(message.slice) }
+            }
+        }
+    }
+
+    /** Delivers [action] after up to 20 ms, sometimes late and sometimes never. */
+    private fun post(action: () -> Unit) {
+        if (random.nextInt(20) == 0) return
+        val delay = if (random.nextInt(50) == 0) random.nextInt(2_000) else random.nextInt(20)
+        mail += clock.now() + delay.milliseconds to action
+    }
+
+    private fun deliver() {
+        val due = mail.filter { it.first <= clock.now() }
+        mail.removeAll(due)
+        due.forEach { it.second() }
+    }
+
+    private fun take(signal: EngineSignal) {
+        if (signal is EngineSignal.FirstToken) return
+        val (vm, _, slice) = running.remove(signal.job) ?: return
+        answers++
+        owner.answered(AnswerSample(100.milliseconds, isFailed = signal is EngineSignal.Failed))
+        borrowers[vm].release(clock.now(), slice)
+    }
+
+    private fun job(id: Long) = EngineJob(id, EnginePrompt(ownTokens = 50), outputTokens = if (id % longEvery == 0L) 400 else random.nextInt(5, 100))
+
+    private companion object {
+        /** Slices of one owner are numbered below this. */
+        const val IDS = 1_000_000L
+    }
+}
