--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -26,6 +26,7 @@
 import kotlinx.coroutines.withTimeout
 import org.slf4j.LoggerFactory
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -45,7 +46,11 @@
             onRequest = { headers, body -> seenByEndpoints += "$headers $body" },
         )
     }
-    val service = ServiceServer(onRequest = { seenByEndpoints += it.toString() }, onTarget = { seenByEndpoints += it })
+    val service = ServiceServer(
+        onRequest = { seenByEndpoints += it.toString() },
+        onTarget = { seenByEndpoints += it },
+        answerDelay = { path -> if (path == HANGING_PATH) HANG else Duration.ZERO },
+    )
     val http = HttpClient(CIO) { install(HttpTimeout) { requestTimeoutMillis = CLIENT_TIMEOUT_MS } }
     val identities = mutableListOf<VmIdentity>()
     lateinit var enginePorts: List<Int>
@@ -59,16 +64,28 @@
         val url = "http://127.0.0.1:${platform.start()}"
         for (zone in ZONES) {
             val store = HttpObjectStore(url).also { stores += it }
-            val settings = EntrySettings(vm = "$zone-1", zone = zone, platformUrl = url, configurationPollMs = 100)
+            val settings = EntrySettings(vm = "$zone-1", zone = zone, platformUrl = url, configurationPollMs = 100, stopGraceMs = 500)
             val daemon = EntryDaemon(settings, store).also { daemons += it }
             identities += daemon.start()
         }
         return this
     }
 
+    /** Stops daemon [vm] by plan. */
+    suspend fun stop(vm: Int) = daemons[vm].stop()
+
+    /** Stops daemon [vm] at once, as a crash would. */
+    fun kill(vm: Int) = daemons[vm].close()
+
     suspend fun publish(note: String): String =
         http.post("http://${identities[0].operatorAddress}/release") { setBody(note) }.bodyAsText()
 
+    /** Calls that the engines run now, as their load reports tell. */
+    suspend fun runningAtEngines(): Int = enginePorts.sumOf { port ->
+        val load = http.get("http://127.0.0.1:$port/load").bodyAsText()
+        load.substringAfter("\"running\":").substringBefore(',').toInt()
+    }
+
     suspend fun setStoreDown(isDown: Boolean) = platform.withStore { this.isDown = isDown }
 
     suspend fun awaitGeneration(generation: Long) = awaitUntil("all daemons in generation $generation") {
@@ -124,6 +141,10 @@
         val ZONES = listOf("be-wal-a", "be-wal-b", "be-wal-c")
         const val CHAT = """{"model":"chat","messages":[{"role":"user","content":"hello"}]}"""
         const val CLIENT_TIMEOUT_MS = 30_000L
+
+        /** A service path whose side effect is done at once and whose answer comes late. */
+        const val HANGING_PATH = "hanging"
+        val HANG = 4.seconds
     }
 }
 
