End every right before its shards are given away, and go on by promises

Cause: a restarted VM replaced its lease at once, so shards of the old incarnation moved while its paused old process still believed its lease. Also found: an owner acted for shards whose release had no reply yet; a write without a reply was forgotten although it may take effect later; the first renewal of a process whose lease was revoked before its reply came brought the ended incarnation back.

Change: shards move when their owner's lease was seen revoked, or was missing for time to live plus margin in a read begun after that. Writes are repeated until they have a definite reply. A VM that can't reach the store renews through a peer, and goes on while all members of the map promise not to revoke; members add no members meanwhile. A restarted process stays silent for as long as its predecessor may have promised. Leases of VMs that are gone are removed.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Lease.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Lease.kt
@@ -44,12 +44,24 @@
     val isLeaving: Boolean = false,
 )
 
+/** One incarnation of a VM, as the holder of rights. */
+@Serializable
+data class LeaseHolder(
+    val vm: String,
+    val incarnation: Long,
+)
+
+/** The incarnation that this lease belongs to. */
+val Lease.holder: LeaseHolder get() = LeaseHolder(identity.vm, incarnation)
+
 /**
  * Owner of one shard.
  *
  * @property journals ids of the journals that hold the shard's programs, oldest first. A new owner replays them,
  *   writes checkpoints to its own and leaves only that one in the list; it serves the shard only after that.
  * @property isReleased true when the owner before handed the shard over, so that its journal needs no seal.
+ * @property withheldFor former owners that lost the shard without handing it over and may still give out their fallback
+ *   share of each bucket. This owner leaves one such share unused for each of them.
  */
 @Serializable
 data class ShardOwner(
@@ -58,13 +70,24 @@
     val epoch: Long,
     val journals: List<String> = emptyList(),
     val isReleased: Boolean = false,
+    val withheldFor: List<LeaseHolder> = emptyList(),
 )
 
-/** Value of the shard map object. [shards] has one entry a shard. */
+/** The incarnation that owns the shard. */
+val ShardOwner.holder: LeaseHolder get() = LeaseHolder(vm, incarnation)
+
+/**
+ * Value of the shard map object.
+ *
+ * @property shards one entry a shard.
+ * @property members incarnations that may revoke leases and give shards away. A VM that can't renew its lease goes on
+ *   when all of them promise not to revoke it, so only a member adds members, and not while it promised.
+ */
 @Serializable
 data class ShardMap(
     val epoch: Long = 0,
     val shards: List<ShardOwner> = emptyList(),
+    val members: Set<LeaseHolder> = emptySet(),
 )
 
 /** Id of the journal of one incarnation of a VM. */
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/ShardAssignment.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/ShardAssignment.kt
@@ -5,25 +5,32 @@
     vm == lease.identity.vm && incarnation == lease.incarnation && !lease.isRevoked
 
 /**
- * Gives the shards that have no live owner to the VMs of [live] that hold the fewest. A shard with a live owner never
- * moves here: only its owner hands it over, see [handOver].
+ * Gives shards without an owner to the VMs of [takers] that hold the fewest. A shard has no owner when it was never
+ * given or when the rights of its owner have [ended]. A shard with a live owner never moves here: only its owner hands
+ * it over, see [handOver].
  */
-fun assignOrphans(before: List<ShardOwner>, live: List<Lease>, count: Int, epoch: Long): List<ShardOwner> {
-    val staying = live.filter { !it.isLeaving }.sortedBy { it.identity.vm }
+fun assignOrphans(
+    before: List<ShardOwner>,
+    takers: List<Lease>,
+    count: Int,
+    epoch: Long,
+    ended: (LeaseHolder) -> Boolean,
+): List<ShardOwner> {
+    val staying = takers.filter { !it.isLeaving }.sortedBy { it.identity.vm }
     if (staying.isEmpty()) return before
     val held = staying.associateWith { lease -> before.count { it.isHeldBy(lease) } }.toMutableMap()
     return (0 until count).map { shard ->
         val owner = before.getOrNull(shard)
-        if (owner != null && live.any { owner.isHeldBy(it) }) return@map owner
+        if (owner != null && !ended(owner.holder)) return@map owner
         val lease = held.minBy { it.value }.key
         held.merge(lease, 1, Int::plus)
-        newOwner(lease, epoch, journalsBefore = owner?.journals.orEmpty())
+        newOwner(lease, epoch, owner).copy(withheldFor = owner?.let { it.withheldFor + it.holder }.orEmpty())
     }
 }
 
 /**
- * Shards that [self] should hand over, with their new owners: all when it is leaving, otherwise those above its fair
- * part. Empty when nothing should move.
+ * Shards that [self] should hand over to VMs of [live], with their new owners: all when it is leaving, otherwise those
+ * above its fair part. Empty when nothing should move.
  */
 fun shardsToHandOver(shards: List<ShardOwner>, live: List<Lease>, self: Lease): Map<Int, Lease> {
     val staying = live.filter { !it.isLeaving && !it.isRevoked }.sortedBy { it.identity.vm }
@@ -43,12 +50,12 @@
 fun handOver(shards: List<ShardOwner>, moved: Map<Int, Lease>, epoch: Long): List<ShardOwner> =
     shards.mapIndexed { shard, owner ->
         val lease = moved[shard] ?: return@mapIndexed owner
-        newOwner(lease, epoch, owner.journals).copy(isReleased = true)
+        newOwner(lease, epoch, owner).copy(isReleased = true, withheldFor = owner.withheldFor)
     }
 
-private fun newOwner(lease: Lease, epoch: Long, journalsBefore: List<String>) = ShardOwner(
+private fun newOwner(lease: Lease, epoch: Long, before: ShardOwner?) = ShardOwner(
     vm = lease.identity.vm,
     incarnation = lease.incarnation,
     epoch = epoch,
-    journals = (journalsBefore + journalId(lease.identity.vm, lease.incarnation)).distinct(),
+    journals = (before?.journals.orEmpty() + journalId(lease.identity.vm, lease.incarnation)).distinct(),
 )
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -32,10 +32,13 @@
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
 import io.jasmineford.daemon.operator.operatorModule
+import io.jasmineford.daemon.peer.GrpcMembershipPeers
+import io.jasmineford.daemon.peer.OwnershipPort
 import io.jasmineford.daemon.peer.PeerClients
 import io.jasmineford.daemon.peer.PeerPort
 import io.jasmineford.daemon.peer.PeerService
 import io.jasmineford.daemon.peer.peerServer
+import io.jasmineford.daemon.peer.renewFor
 import io.jasmineford.daemon.settings.EntrySettings
 import io.jasmineford.daemon.settings.journal
 import io.jasmineford.daemon.settings.membership
@@ -160,7 +163,8 @@
 
     private fun startControl(identity: VmIdentity) {
         membership = Membership(identity, settings.membership(), clock, nonces, incarnationSource)
-        val driver = MembershipDriver(scope, store, membership)
+        val membershipPeers = GrpcMembershipPeers(peers, settings.storeTimeoutMs.milliseconds)
+        val driver = MembershipDriver(scope, store, membership, membershipPeers)
         keeper = ShardKeeper(
             vm = settings.vm,
             scope = scope,
@@ -216,6 +220,10 @@
         clock = clock,
         handle = { router.handle(it) },
         probe = { withContext(control) { probe() } },
+        ownership = OwnershipPort(
+            promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
+            renew = { renewFor(store, it) },
+        ),
     )
 
     private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/MembershipDriver.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/MembershipDriver.kt
@@ -7,6 +7,7 @@
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.MembershipAction
 import io.jasmineford.core.lease.MembershipView
+import io.jasmineford.core.lease.PromiseRequest
 import io.jasmineford.core.lease.SHARD_MAP_KEY
 import io.jasmineford.core.lease.leaseJson
 import io.jasmineford.core.lease.leaseKey
@@ -18,8 +19,17 @@
 import kotlinx.coroutines.launch
 import kotlin.time.Duration.Companion.milliseconds
 
+/** Calls of the membership state machine to other daemons. */
+interface MembershipPeers {
+    /** Lets the daemon at [address] make the write of [action]. */
+    suspend fun renew(address: String, action: MembershipAction.WriteLease): Result<StoredObject, StoreError>
+
+    /** Whether the daemon at [address] promises what [request] asks for; false when it doesn't answer. */
+    suspend fun promise(address: String, request: PromiseRequest): Boolean
+}
+
 /**
- * Makes the store calls of the membership state machine.
+ * Makes the store and peer calls of the membership state machine.
  *
  * @param scope runs on the control thread; store calls suspend it without blocking.
  */
@@ -27,6 +37,7 @@
     private val scope: CoroutineScope,
     private val store: ObjectStore,
     private val membership: Membership,
+    private val peers: MembershipPeers,
 ) {
     /** Polls the state machine until the scope is cancelled. */
     fun start() = scope.launch {
@@ -44,11 +55,20 @@
                 is MembershipAction.Revoke -> membership.onRevoked(action, revoke(action))
                 is MembershipAction.WriteMap -> membership.onMapWritten(action, write(action))
                 MembershipAction.ReadAll -> membership.onRead(read())
+                MembershipAction.ReadVms -> membership.onVmsRead(store.vms())
+                is MembershipAction.AskPromise ->
+                    membership.onPromise(action, peers.promise(action.peerAddress, action.request))
+
+                is MembershipAction.RemoveLease -> {
+                    store.delete(leaseKey(action.vm), action.expectedVersion)
+                    membership.onLeaseRemoved(action)
+                }
             }
         }
     }
 
     private suspend fun write(action: MembershipAction.WriteLease): Result<StoredObject, StoreError> {
+        action.through?.let { return peers.renew(it, action) }
         val key = leaseKey(action.lease.identity.vm)
         return store.put(key, leaseJson.encodeToString(action.lease), action.expectedVersion, action.nonce)
     }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
@@ -8,9 +8,14 @@
 import io.jasmineford.protocol.PeerGrpcKt
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.protocol.ProbeRequest
+import io.jasmineford.protocol.PromiseReply
+import io.jasmineford.protocol.PromiseRequest
+import io.jasmineford.protocol.RenewReply
+import io.jasmineford.protocol.RenewRequest
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.map
 import java.net.InetSocketAddress
+import io.jasmineford.core.lease.PromiseRequest as Promise
 import io.jasmineford.daemon.call.CallEvent as Event
 import io.jasmineford.protocol.CallEvent as EventMessage
 
@@ -19,6 +24,13 @@
     val clock: MonotonicClock,
     val handle: (Call) -> Flow<Event>,
     val probe: suspend () -> ProbeReply,
+    val ownership: OwnershipPort,
+)
+
+/** What the peer port needs for leases. */
+internal class OwnershipPort(
+    val promise: suspend (Promise) -> Boolean,
+    val renew: suspend (RenewRequest) -> RenewReply,
 )
 
 /** gRPC service for other daemons. */
@@ -27,6 +39,11 @@
         port.handle(request.toCall(port.clock.now())).map { it.toMessage() }
 
     override suspend fun probe(request: ProbeRequest): ProbeReply = port.probe()
+
+    override suspend fun promiseNoRevoke(request: PromiseRequest): PromiseReply =
+        PromiseReply.newBuilder().setPromised(port.ownership.promise(request.toRequest())).build()
+
+    override suspend fun renewLeaseFor(request: RenewRequest): RenewReply = port.ownership.renew(request)
 }
 
 /** Server of [service] on [host] and [port]; port 0 lets the system choose. */
