--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.subcommands
+import io.jasmineford.cli.bench.benchCommand
 import io.jasmineford.cli.operator.Direction
 import io.jasmineford.cli.operator.ReleaseCheckCommand
 import io.jasmineford.cli.operator.ReleaseCommand
@@ -19,6 +20,7 @@
 internal fun rootCommand(): CliktCommand = RootCommand().subcommands(
     QuickstartCommand(),
     EntryCommand(),
+    benchCommand(),
     StandInCommand().subcommands(PlatformCommand(), EngineCommand(), ServiceCommand()),
     ReleaseCommand().subcommands(ReleaseCheckCommand(), ReleasePublishCommand()),
     ZoneCommand().subcommands(Direction.entries.map { ZoneDirectionCommand(it) }),
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
@@ -38,6 +38,9 @@
     /** The newest shard map seen. */
     val map: ShardMap get() = state.map
 
+    /** Store revision of [map]. */
+    val mapRevision: Long get() = state.mapVersion
+
     /** Incarnation of this VM; changes when the lease was revoked. */
     val incarnation: Long get() = state.own.incarnation
 
@@ -77,6 +80,9 @@
         state = state.copy(own = state.own.copy(isLeaving = true), nextRenewal = Duration.ZERO)
     }
 
+    /** Gives up every right of this incarnation after its journal was sealed. A new incarnation follows. */
+    fun abandon() = startIncarnation(state.ownVersion, incarnations())
+
     /** Store and peer calls that are due. */
     fun poll(): List<MembershipAction> {
         val now = clock.now()
@@ -261,15 +267,21 @@
         // other cases the lease was revoked or removed, and every right of this incarnation has ended.
         val isPredecessor = isFirst && current != null && current.incarnation < own.incarnation
         val next = if (isPredecessor) own.incarnation else maxOf(incarnations(), (current?.incarnation ?: 0) + 1)
+        val startedAt = state.incarnationSince
+        startIncarnation(stored?.version ?: ABSENT_VERSION, next)
+        if (isPredecessor) state = state.copy(incarnationSince = startedAt)
+        state = state.copy(isSuperseded = isNewerProcess)
+    }
+
+    private fun startIncarnation(ownVersion: Long, incarnation: Long) {
         state = state.copy(
-            isSuperseded = isNewerProcess,
-            own = Lease(identity = self, incarnation = next, renewal = 0, isLeaving = own.isLeaving),
-            incarnationSince = if (isPredecessor) state.incarnationSince else clock.now(),
+            own = Lease(identity = self, incarnation = incarnation, renewal = 0, isLeaving = state.own.isLeaving),
+            ownVersion = ownVersion,
+            incarnationSince = clock.now(),
             leaseWrite = null,
             leaseUntil = Duration.ZERO,
             promisedUntil = Duration.ZERO,
             replayed = emptySet(),
-            ownVersion = stored?.version ?: ABSENT_VERSION,
             nextRenewal = Duration.ZERO,
         )
     }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -5,7 +5,7 @@
 import io.jasmineford.core.address.AddressAnswer
 import io.jasmineford.core.address.chooseAddresses
 import io.jasmineford.core.config.ConfigurationHolder
-import io.jasmineford.core.config.accountOf
+import io.jasmineford.core.config.FleetMember
 import io.jasmineford.core.key.digestOfKey
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
@@ -23,9 +23,9 @@
 import io.jasmineford.daemon.call.ServiceClient
 import io.jasmineford.daemon.caller.AdmissionGate
 import io.jasmineford.daemon.caller.CallerPort
+import io.jasmineford.daemon.caller.KeyGuard
 import io.jasmineford.daemon.caller.callerModule
-import io.jasmineford.daemon.control.ConfigurationDriver
-import io.jasmineford.daemon.control.ConfigurationPublisher
+import io.jasmineford.daemon.control.ConfigurationControl
 import io.jasmineford.daemon.control.MembershipDriver
 import io.jasmineford.daemon.control.ShardKeeper
 import io.jasmineford.daemon.operator.DaemonStatus
@@ -37,11 +37,16 @@
 import io.jasmineford.daemon.peer.PeerClients
 import io.jasmineford.daemon.peer.PeerPort
 import io.jasmineford.daemon.peer.PeerService
+import io.jasmineford.daemon.peer.exchange
 import io.jasmineford.daemon.peer.peerServer
 import io.jasmineford.daemon.peer.renewFor
+import io.jasmineford.daemon.peer.toMember
+import io.jasmineford.daemon.peer.toMessage
+import io.jasmineford.daemon.peer.toView
 import io.jasmineford.daemon.settings.EntrySettings
 import io.jasmineford.daemon.settings.journal
 import io.jasmineford.daemon.settings.membership
+import io.jasmineford.daemon.settings.synchronisation
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.store.ObjectStore
 import io.ktor.client.HttpClient
@@ -50,6 +55,7 @@
 import io.ktor.server.application.Application
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -85,14 +91,9 @@
     private val client = HttpClient(CIO) { install(HttpTimeout) }
     private val queue = EndpointQueue(CallScheduler(clock), control)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
-    private val configuration = ConfigurationDriver(
-        scope = scope,
-        store = store,
-        holder = holder,
-        clock = clock,
-        pollEvery = settings.configurationPollMs.milliseconds,
-        onChange = queue::configurationChanged,
-    )
+    private val guard = KeyGuard(control, holder)
+    private val configuration = CompletableDeferred<ConfigurationControl>()
+    private val requests = RequestsInFlight()
     private var isLeaving = false
     private var isClosed = false
     private lateinit var membership: Membership
@@ -134,17 +135,25 @@
     /** Generation of the configuration in force here. */
     suspend fun generation(): Long = withContext(control) { holder.current.generation }
 
-    /** Planned stop: leaves the address answers first, hands its shards over, lets calls end, then closes. */
-    suspend fun stop(patience: Duration = 20.seconds) {
+    /**
+     * Planned stop: leaves the address answers first, hands its shards over, lets the calls in flight end, and answers
+     * callers that still have its address for the grace time of the settings. Calls that take longer than [patience] are
+     * cut.
+     */
+    suspend fun stop(patience: Duration = 60.seconds) {
         if (isClosed) return
+        val startedAt = clock.now()
         withContext(control) {
             isLeaving = true
             membership.leave()
         }
-        val isEmpty = withTimeoutOrNull(patience) {
-            while (!withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
+        val isDrained = withTimeoutOrNull(patience) {
+            while (requests.count > 0 || !withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
+            true
         }
-        log.event("daemon_stopped", "vm" to settings.vm, "handedOver" to (isEmpty != null))
+        val grace = settings.stopGraceMs.milliseconds - (clock.now() - startedAt)
+        if (grace.isPositive()) delay(grace)
+        log.event("daemon_stopped", "vm" to settings.vm, "drained" to (isDrained == true), "requests" to requests.count)
         close()
     }
 
@@ -179,28 +188,51 @@
         router = CallRouter(
             self = settings.vm,
             control = control,
+            clock = clock,
             configuration = holder,
             membership = membership,
             keeper = keeper,
-            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client)),
+            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client, clock)),
             services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
             forward = peers::forward,
         )
         driver.start()
         keeper.start()
-        configuration.start()
+        startConfiguration(identity)
         queue.start(scope)
     }
 
+    private fun startConfiguration(identity: VmIdentity) {
+        val self = FleetMember(settings.vm, settings.zone, identity.peerAddress)
+        val started = ConfigurationControl(
+            self = self,
+            settings = settings.synchronisation(),
+            scope = scope,
+            control = control,
+            store = store,
+            clock = clock,
+            holder = holder,
+            membership = membership,
+            exchange = { peer, view -> peers.exchange(self, peer, view) },
+            nonces = nonces,
+            onChange = {
+                queue.configurationChanged(it)
+                guard.configurationChanged(it)
+            },
+        )
+        started.driver.start()
+        configuration.complete(started)
+    }
+
     private fun callerPort() = CallerPort(
         vm = settings.vm,
         zone = settings.zone,
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
         gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
-        handle = { router.handle(it) },
+        handle = { requests.counted(guard.guard(it, router::handle)) },
         addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
-        isLeaving = { isLeaving },
+        isOut = { isLeaving },
         onAnswered = { labels ->
             metrics.answered(labels)
             withContext(control) { counters.count(labels) }
@@ -208,7 +240,7 @@
     )
 
     private fun operatorPort() = OperatorPort(
-        publisher = ConfigurationPublisher(store, nonces),
+        publish = { configuration.await().publisher.publish(it) },
         status = { withContext(control) { status() } },
         configuration = { withContext(control) { holder.current } },
         isReady = { isReady() },
@@ -218,12 +250,17 @@
 
     private fun peerPort() = PeerPort(
         clock = clock,
-        handle = { router.handle(it) },
+        handle = { requests.counted(guard.guard(it, router::handle)) },
         probe = { withContext(control) { probe() } },
         ownership = OwnershipPort(
             promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
             renew = { renewFor(store, it) },
         ),
+        announced = { request ->
+            val driver = configuration.await().driver
+            val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
+            view.toMessage(FleetMember(settings.vm, settings.zone))
+        },
     )
 
     private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/Call.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/Call.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.daemon.call
 
+import com.google.common.hash.Hashing
 import io.jasmineford.core.call.Outcome
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.call.Refusal
@@ -24,6 +25,7 @@
  * @property path path and query without credentials.
  * @property deadline on this VM's monotonic clock.
  * @property hops VMs that forwarded the call so far.
+ * @property generation generation of the configuration in which the key was found.
  */
 class Call(
     val requestId: String,
@@ -35,11 +37,18 @@
     val body: ByteArray,
     val deadline: Duration,
     val hops: Int = 0,
+    val generation: Long = 0,
 ) {
     /** Value of the first header [name], or null. */
     fun header(name: String): String? = headers.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 }
 
+/** Digest of method, path and body; the same for the same request when it is sent again. */
+fun Call.digest(): String = Hashing.sha256().newHasher()
+    .putUnencodedChars(method).putUnencodedChars(" ").putUnencodedChars(path).putUnencodedChars("\n")
+    .putBytes(body)
+    .hash().toString()
+
 /** Part of an answer. An answer is one [Head], any number of [Data] and one [End]. */
 sealed interface CallEvent {
     /** Status and headers. */
@@ -52,7 +61,7 @@
     data class End(val outcome: Outcome, val reason: Reason? = null) : CallEvent
 }
 
-/** Problem details of RFC 9457 with the outcome. */
+/** Problem details of RFC 9457 with the outcome. [addresses] are entry VMs that take the request instead. */
 @Serializable
 data class Problem(
     val type: String,
@@ -61,6 +70,7 @@
     val detail: String,
     val outcome: String,
     val reason: String,
+    val addresses: List<String> = emptyList(),
 )
 
 /** Names of the product's own headers. */
@@ -74,6 +84,7 @@
     const val REASON = "Jasmineford-Reason"
     const val VM = "Jasmineford-Vm"
     const val ORGANISATION = "Jasmineford-Organisation"
+    const val DURABLE = "Jasmineford-Durable"
     const val IDEMPOTENCY_KEY = "Idempotency-Key"
 }
 
@@ -88,7 +99,7 @@
 )
 
 /** Whole answer of this refusal. */
-fun Refusal.toEvents(): List<CallEvent> {
+fun Refusal.toEvents(problem: Problem = toProblem()): List<CallEvent> {
     val retry = retryAfter?.let { HeaderField("Retry-After", wholeSecondsUp(it).toString()) }
     val headers = listOfNotNull(
         HeaderField("Content-Type", "application/problem+json"),
@@ -96,7 +107,7 @@
         HeaderField(CallHeaders.REASON, reason.label),
         retry,
     )
-    val body = Json.encodeToString(toProblem()).toByteArray()
+    val body = Json.encodeToString(problem).toByteArray()
     return listOf(CallEvent.Head(reason.status, headers), CallEvent.Data(body), CallEvent.End(outcome, reason))
 }
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.jasmineford.core.config.SyncSettings
 import io.jasmineford.core.lease.MembershipSettings
 import io.jasmineford.core.program.JournalSettings
 import kotlinx.serialization.Serializable
@@ -20,6 +21,8 @@
  * @property operatorPort HTTP port for operators and metrics; 0 lets the system choose.
  * @property peerPort gRPC port for other daemons; 0 lets the system choose.
  * @property platformUrl base URL of the object API.
+ * @property stopGraceMs time from the start of a planned stop during which callers that still have this VM's address are
+ *   told where to go; as long as an address answer holds.
  * @property dataDirectory folder on a small disk for cached history; empty when the VM has none.
  */
 @Serializable
@@ -42,6 +45,7 @@
     val configurationMaxProofAgeMs: Long = 2_000,
     val callDeadlineMs: Long = 60_000,
     val storeTimeoutMs: Long = 2_000,
+    val stopGraceMs: Long = 10_000,
 )
 
 /** A fault of the settings: the key, the value and the accepted range on one line. */
@@ -80,6 +84,7 @@
     checkRange("configurationMaxProofAgeMs", settings.configurationMaxProofAgeMs)
     checkRange("callDeadlineMs", settings.callDeadlineMs)
     checkRange("storeTimeoutMs", settings.storeTimeoutMs)
+    checkRange("stopGraceMs", settings.stopGraceMs)
     // A lease must survive one lost renewal.
     if (settings.leaseRenewEveryMs > settings.leaseTimeToLiveMs / 2) {
         val most = settings.leaseTimeToLiveMs / 2
@@ -97,6 +102,16 @@
     shards = shards,
 )
 
+/** Times of configuration distribution. */
+fun EntrySettings.synchronisation(): SyncSettings {
+    val maxProofAge = configurationMaxProofAgeMs.milliseconds
+    return SyncSettings(
+        maxProofAge = maxProofAge,
+        readEvery = minOf(configurationPollMs.milliseconds, maxProofAge / READS_A_PROOF),
+        writeLateness = storeTimeoutMs.milliseconds * STORE_TIMEOUTS_OF_LATENESS,
+    )
+}
+
 /** Times of group commit. */
 fun EntrySettings.journal(): JournalSettings = JournalSettings(linger = journalLingerMs.milliseconds)
 
@@ -117,6 +132,10 @@
     if (value !in range) add(SettingsError(key, "expected ${range.first} to ${range.last}, actual $value"))
 }
 
+private const val READS_A_PROOF = 4
+
+/** A request that the store accepted may take effect some timeouts after its sender gave up. */
+private const val STORE_TIMEOUTS_OF_LATENESS = 5
 private val NAME_PATTERN = Regex("[A-Za-z0-9.-]{1,63}")
 private val PORTS = 0L..65_535L
 private val LEASE_MS = 10L..600_000L
@@ -137,4 +156,5 @@
     "configurationMaxProofAgeMs" to INTERVAL_MS,
     "callDeadlineMs" to 10L..3_600_000L,
     "storeTimeoutMs" to INTERVAL_MS,
+    "stopGraceMs" to 0L..600_000L,
 )
