--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -32,11 +32,14 @@
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
 import io.jasmineford.daemon.operator.operatorModule
+import io.jasmineford.daemon.peer.GrpcMembershipPeers
+import io.jasmineford.daemon.peer.OwnershipPort
 import io.jasmineford.daemon.peer.PeerClients
 import io.jasmineford.daemon.peer.PeerPort
 import io.jasmineford.daemon.peer.PeerService
 import io.jasmineford.daemon.peer.exchange
 import io.jasmineford.daemon.peer.peerServer
+import io.jasmineford.daemon.peer.renewFor
 import io.jasmineford.daemon.peer.toMember
 import io.jasmineford.daemon.peer.toMessage
 import io.jasmineford.daemon.peer.toView
@@ -172,7 +175,8 @@
 
     private fun startControl(identity: VmIdentity) {
         membership = Membership(identity, settings.membership(), clock, nonces, incarnationSource)
-        val driver = MembershipDriver(scope, store, membership)
+        val membershipPeers = GrpcMembershipPeers(peers, settings.storeTimeoutMs.milliseconds)
+        val driver = MembershipDriver(scope, store, membership, membershipPeers)
         keeper = ShardKeeper(
             vm = settings.vm,
             scope = scope,
@@ -251,6 +255,10 @@
         clock = clock,
         handle = { requests.counted(guard.guard(it, router::handle)) },
         probe = { withContext(control) { probe() } },
+        ownership = OwnershipPort(
+            promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
+            renew = { renewFor(store, it) },
+        ),
         announced = { request ->
             val driver = configuration.await().driver
             val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
