Name only VMs in service and alive in address answers

Cause: answers followed an old lease list, sent all callers without a program to the same VM, and a VM that was taken out served on.

A VM out of service drains its shards, refuses new calls with vm-leaving and tells addresses in the problem body. Membership.leave became setLeaving, since a VM comes back. A test shows that a VM that others can't know of may not publish.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/Configuration.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/Configuration.kt
@@ -29,6 +29,9 @@
     val vmsOut: Set<String> = emptySet(),
 )
 
+/** Whether [vm] in [zone] is out of service, alone or with its zone. */
+fun ServiceState.isOut(vm: String, zone: String): Boolean = vm in vmsOut || zone in zonesOut
+
 /**
  * An immutable configuration. It is in force as a whole; [generation] rises by one with each accepted change.
  */
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
@@ -69,9 +69,10 @@
         map.shards[it].vm == self.vm && map.shards[it].incarnation == own.incarnation
     }
 
-    /** Marks this VM as leaving; its shards go to others and its lease says so at once. */
-    fun leave() {
-        own = own.copy(isLeaving = true)
+    /** Marks this VM as leaving or as staying; a leaving VM's shards go to others, and its lease says so at once. */
+    fun setLeaving(isLeaving: Boolean) {
+        if (own.isLeaving == isLeaving) return
+        own = own.copy(isLeaving = isLeaving)
         nextRenewal = Duration.ZERO
     }
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -2,11 +2,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.Server
-import io.jasmineford.core.address.AddressAnswer
-import io.jasmineford.core.address.chooseAddresses
 import io.jasmineford.core.config.ConfigurationHolder
 import io.jasmineford.core.config.FleetMember
-import io.jasmineford.core.key.digestOfKey
+import io.jasmineford.core.config.isOut
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
 import io.jasmineford.core.program.ProgramId
@@ -21,6 +19,7 @@
 import io.jasmineford.daemon.call.ModelCalls
 import io.jasmineford.daemon.call.ServiceCalls
 import io.jasmineford.daemon.call.ServiceClient
+import io.jasmineford.daemon.caller.AddressService
 import io.jasmineford.daemon.caller.AdmissionGate
 import io.jasmineford.daemon.caller.CallerPort
 import io.jasmineford.daemon.caller.KeyGuard
@@ -91,6 +90,7 @@
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
     private val requests = RequestsInFlight()
+    private val addresses = addressService()
     private var isLeaving = false
     private var isClosed = false
     private lateinit var membership: Membership
@@ -142,7 +142,7 @@
         val startedAt = clock.now()
         withContext(control) {
             isLeaving = true
-            membership.leave()
+            membership.setLeaving(true)
         }
         val isDrained = withTimeoutOrNull(patience) {
             while (requests.count > 0 || !withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
@@ -214,6 +214,7 @@
             onChange = {
                 queue.configurationChanged(it)
                 guard.configurationChanged(it)
+                membership.setLeaving(isOut())
             },
         )
         started.driver.start()
@@ -227,8 +228,8 @@
         defaultDeadline = settings.callDeadlineMs.milliseconds,
         gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
         handle = { requests.counted(guard.guard(it, router::handle)) },
-        addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
-        isOut = { isLeaving },
+        addresses = addresses::answer,
+        isOut = { withContext(control) { isOut() } },
         onAnswered = { labels ->
             metrics.answered(labels)
             withContext(control) { counters.count(labels) }
@@ -255,17 +256,25 @@
         },
     )
 
-    private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
-        val account = key?.let { holder.current.accountOf(digestOfKey(it)) }
-        val shard = if (account != null && program != null) keeper.shardOf(ProgramId(account, program)) else null
-        val owner = shard?.let { membership.map.shards.getOrNull(it) }
-        return chooseAddresses(membership.leases().values, holder.current.serviceState, owner?.vm, zone)
-    }
+    private fun addressService() = AddressService(
+        self = settings.vm,
+        control = control,
+        clock = clock,
+        configuration = holder,
+        membership = { membership },
+        keeperOf = { account, program ->
+            membership.map.shards.getOrNull(keeper.shardOf(ProgramId(account, program)))?.vm
+        },
+        probe = peers::probe,
+    )
+
+    /** Whether callers should use another VM. */
+    private fun isOut(): Boolean = isLeaving || holder.current.serviceState.isOut(settings.vm, settings.zone)
 
     private fun probe(): ProbeReply = ProbeReply.newBuilder()
         .setVm(settings.vm)
         .setIncarnation(membership.incarnation)
-        .setLeaving(isLeaving)
+        .setLeaving(isOut() || !holder.isProvedCurrent())
         .setGeneration(holder.current.generation)
         .build()
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
@@ -48,7 +48,7 @@
     val defaultDeadline: Duration,
     val gate: AdmissionGate,
     val handle: (Call) -> Flow<CallEvent>,
-    val addresses: suspend (key: String?, program: String?, zone: String?) -> AddressAnswer,
+    val addresses: suspend (key: String?, program: String?, zone: String?) -> Result<AddressAnswer, Refusal>,
     val isOut: suspend () -> Boolean,
     val onAnswered: suspend (CallLabels) -> Unit,
 )
@@ -59,8 +59,10 @@
         get("/v1/addresses") {
             val key = call.separateCredentials().keys.singleOrNull()
             val program = call.request.header(CallHeaders.PROGRAM)
-            val answer = port.addresses(key, program, call.request.queryParameters["zone"])
-            call.respondText(Json.encodeToString(answer), ContentType.Application.Json)
+            port.addresses(key, program, call.request.queryParameters["zone"]).fold(
+                success = { call.respondText(Json.encodeToString(it), ContentType.Application.Json) },
+                failure = { call.respondEvents(it.toEvents().asFlow(), port.vm) },
+            )
         }
         post("/v1/chat/completions") { port.serve(call, serviceRoute = null) }
         route("/services/{route}/{path...}") {
@@ -96,7 +98,7 @@
 
 private suspend fun CallerPort.redirection(key: String?, program: String?): Flow<CallEvent> {
     val refusal = Refusal(Reason.VM_LEAVING, "VM $vm takes no new work")
-    val problem = refusal.toProblem().copy(addresses = addresses(key, program, zone).addresses)
+    val problem = refusal.toProblem().copy(addresses = addresses(key, program, zone).fold({ it.addresses }, { emptyList() }))
     return refusal.toEvents(problem).asFlow()
 }
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerClients.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerClients.kt
@@ -7,6 +7,8 @@
 import io.jasmineford.daemon.call.Call
 import io.jasmineford.daemon.call.KeeperLostException
 import io.jasmineford.protocol.PeerGrpcKt
+import io.jasmineford.protocol.ProbeReply
+import io.jasmineford.protocol.ProbeRequest
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.catch
 import kotlinx.coroutines.flow.map
@@ -31,6 +33,14 @@
             .catch { e -> throw if (e is StatusException) KeeperLostException("${e.status.code}") else e }
     }
 
+    /** Asks the daemon at [address] whether it takes work; null when it doesn't reply in time. */
+    suspend fun probe(address: String): ProbeReply? = try {
+        stub(address).withDeadlineAfter(PROBE_LIMIT_MS, TimeUnit.MILLISECONDS)
+            .probe(ProbeRequest.newBuilder().setVm(vm).build())
+    } catch (_: StatusException) {
+        null
+    }
+
     /** Stub for the daemon at [address]. */
     fun stub(address: String): PeerGrpcKt.PeerCoroutineStub =
         PeerGrpcKt.PeerCoroutineStub(channels.computeIfAbsent(address, ::connect))
@@ -41,4 +51,8 @@
         NettyChannelBuilder.forTarget(address).usePlaintext().build()
 
     private fun timeLeft(call: Call): Duration = (call.deadline - clock.now()).coerceAtLeast(Duration.ZERO)
+
+    private companion object {
+        const val PROBE_LIMIT_MS = 300L
+    }
 }
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -86,12 +86,15 @@
         load.substringAfter("\"running\":").substringBefore(',').toInt()
     }
 
-    suspend fun setStoreDown(isDown: Boolean) = platform.withStore { this.isDown = isDown }
-
     suspend fun awaitGeneration(generation: Long) = awaitUntil("all daemons in generation $generation") {
         daemons.all { it.isReady() && it.generation() == generation }
     }
 
+    /** Like [awaitGeneration], for a configuration that takes a VM out. */
+    suspend fun awaitConfiguration(generation: Long) = awaitUntil("generation $generation on all daemons") {
+        daemons.all { it.generation() == generation }
+    }
+
     suspend fun call(vm: Int, path: String, build: HttpRequestBuilder.() -> Unit = {}): HttpResponse =
         http.post("http://${identities[vm].callerAddress}$path", build)
 
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/control/ConfigurationScheduleTest.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/control/ConfigurationScheduleTest.kt
@@ -2,6 +2,8 @@
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -50,6 +52,27 @@
             assertEquals(emptyList(), serving, "expected no proof once a VM that may publish is silent")
         }
 
+    @Test
+    fun `a VM that the others can't know of publishes only after they acknowledged it`() =
+        inWorld(seed = 2, vmsPerZone = 1) { world ->
+            val (first, second, late) = world.vms.values.toList()
+            listOf(first, second).forEach { it.start() }
+            delay(12.seconds)
+            // The two keep each other's proof, and only the late VM reaches the store.
+            world.platform.cutOff += listOf(first.name, second.name)
+            world.severed += listOf(setOf(first.name, late.name), setOf(second.name, late.name))
+            late.start()
+            delay(5.seconds)
+            val refused = late.process!!.publisher.publish(PublishRequest("r", buildsOn = null, change(1)))
+            assertTrue(refused.getError() is PublishError.NotEntitled, "expected no right to publish, actual $refused")
+            assertTrue(first.process!!.holder.isProvedCurrent() && second.process!!.holder.isProvedCurrent())
+            world.platform.cutOff.clear()
+            world.severed.clear()
+            delay(5.seconds)
+            val accepted = late.process!!.publisher.publish(PublishRequest("r", buildsOn = null, change(1)))
+            assertEquals(1, accepted.get(), "expected the publication to be accepted, actual $accepted")
+        }
+
     private fun inWorld(seed: Int, vmsPerZone: Int, block: suspend CoroutineScope.(ConfigurationWorld) -> Unit) =
         runTest(StandardTestDispatcher(), timeout = 5.minutes) {
             val dispatcher = StandardTestDispatcher(testScheduler)
