--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
@@ -75,9 +75,10 @@
     /** Former owners of [shard] whose fallback share must stay unused. */
     fun withheldShares(shard: Int): Int = map.shards.getOrNull(shard)?.withheldFor?.size ?: 0
 
-    /** Marks this VM as leaving; its shards go to others and its lease says so at once. */
-    fun leave() {
-        state = state.copy(own = state.own.copy(isLeaving = true), nextRenewal = Duration.ZERO)
+    /** Marks this VM as leaving or as staying; a leaving VM's shards go to others, and its lease says so at once. */
+    fun setLeaving(isLeaving: Boolean) {
+        if (state.own.isLeaving == isLeaving) return
+        state = state.copy(own = state.own.copy(isLeaving = isLeaving), nextRenewal = Duration.ZERO)
     }
 
     /** Gives up every right of this incarnation after its journal was sealed. A new incarnation follows. */
