Report service-level burn and explain programs from recorded decisions

Operators could not see which account's objective burns, why, or why a call ran where it did. Counters now keep sliding windows in bounded memory, /objectives serves them, report burn adds up all VMs (table, JSON, one HTML page), report alerts prints Prometheus rules of the same objectives. Each daemon records decisions per program in a bounded ring; explain program collects them over all VMs.

--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
@@ -15,12 +15,17 @@
 import io.jasmineford.cli.operator.ZoneCommand
 import io.jasmineford.cli.operator.ZoneDirectionCommand
 import io.jasmineford.cli.quickstart.QuickstartCommand
+import io.jasmineford.cli.report.ExplainCommand
+import io.jasmineford.cli.report.ExplainProgramCommand
+import io.jasmineford.cli.report.reportCommand
 
 /** The whole command line. */
 internal fun rootCommand(): CliktCommand = RootCommand().subcommands(
     QuickstartCommand(),
     EntryCommand(),
     benchCommand(),
+    reportCommand(),
+    ExplainCommand().subcommands(ExplainProgramCommand()),
     StandInCommand().subcommands(PlatformCommand(), EngineCommand(), ServiceCommand()),
     ReleaseCommand().subcommands(ReleaseCheckCommand(), ReleasePublishCommand()),
     ZoneCommand().subcommands(Direction.entries.map { ZoneDirectionCommand(it) }),
--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/operator/OperatorClient.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/operator/OperatorClient.kt
@@ -5,6 +5,8 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
 import io.jasmineford.core.config.Configuration
+import io.jasmineford.core.objective.DecisionRecord
+import io.jasmineford.core.objective.ObjectiveSnapshot
 import io.jasmineford.daemon.operator.DaemonStatus
 import io.jasmineford.daemon.operator.PublishReply
 import io.ktor.client.HttpClient
@@ -39,6 +41,13 @@
     /** Configuration in force at [address]. */
     suspend fun configuration(address: String): Result<Configuration, String> = get(address, "/configuration")
 
+    /** Counters of the daemon at [address] for its objectives. */
+    suspend fun objectives(address: String): Result<ObjectiveSnapshot, String> = get(address, "/objectives")
+
+    /** Decisions that the daemon at [address] recorded about [program]. */
+    suspend fun explain(address: String, program: String): Result<List<DecisionRecord>, String> =
+        get(address, "/programs/${program.split('/').joinToString("/") { it.encodeURLPathPart() }}/explain")
+
     /** Publishes the release note [text]. */
     suspend fun publish(address: String, text: String): Result<PublishReply, String> = post(address, "/release", text)
 
--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/report/ReportCommands.kt
@@ -0,0 +1,63 @@
+package io.jasmineford.cli.report
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.path
+import io.jasmineford.cli.operator.EXIT_NO_ANSWER
+import io.jasmineford.cli.operator.OperatorClient
+import io.jasmineford.core.objective.defaultObjectives
+import io.jasmineford.report.alertRules
+import io.jasmineford.report.burnPage
+import io.jasmineford.report.burnReport
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import kotlin.io.path.writeText
+
+/** Reports and their commands. */
+internal fun reportCommand(): CliktCommand = ReportCommand().subcommands(BurnCommand(), AlertsCommand())
+
+private class ReportCommand : CliktCommand(name = "report") {
+    override fun help(context: Context) = "Reports from the daemons' own counters."
+
+    override fun run() = Unit
+}
+
+private class BurnCommand : CliktCommand(name = "burn") {
+    private val operator by option("--operator", help = "operator address of one daemon, host:port").required()
+    private val format by option("--format").choice("table", "json", "html").default("table")
+    private val output by option("--output", help = "file; standard output when absent").path(canBeDir = false)
+
+    override fun help(context: Context) = "Service-level burn by account, route and zone over all VMs, the worst first."
+
+    override fun run() {
+        val answers = askFleet(operator, OperatorClient::objectives)
+        if (answers.found.isEmpty()) throw CliktError(answers.problems.joinToString("\n"), statusCode = EXIT_NO_ANSWER)
+        val report = burnReport(answers.found, answers.problems)
+        val text = when (format) {
+            "json" -> Json.encodeToString(report)
+            "html" -> burnPage(report)
+            else -> burnTable(report)
+        }
+        output?.writeText(text) ?: echo(text)
+    }
+}
+
+private class AlertsCommand : CliktCommand(name = "alerts") {
+    private val operator by option("--operator", help = "daemon whose objectives are used; the defaults when absent")
+
+    override fun help(context: Context) = "Prometheus alert rules from the objectives."
+
+    override fun run() {
+        val objectives = operator?.let { address ->
+            val answers = runBlocking { OperatorClient().use { it.objectives(address) } }
+            answers.getOrThrow().objectives
+        }
+        echo(alertRules(objectives ?: defaultObjectives))
+    }
+}
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/objective/BucketRing.kt
@@ -0,0 +1,50 @@
+package io.jasmineford.core.objective
+
+import io.jasmineford.core.time.MonotonicClock
+import kotlin.time.Duration
+
+/** Counts by key in [size] buckets of [length] each; older buckets are dropped. */
+class BucketRing<K>(
+    private val clock: MonotonicClock,
+    private val length: Duration,
+    private val size: Int,
+) {
+    private val buckets = ArrayDeque<Bucket<K>>()
+
+    /** Adds one to [key] in the running bucket. */
+    fun add(key: K) {
+        running().counts.merge(key, 1L, Long::plus)
+    }
+
+    /** Keys in the running bucket. */
+    fun keysNow(): Int = running().counts.size
+
+    /** Whether the running bucket has [key]. */
+    fun hasKey(key: K): Boolean = key in running().counts
+
+    /** Counts of the buckets that began within [window], the running one included. */
+    fun sum(window: Duration): Map<K, Long> {
+        val sums = HashMap<K, Long>()
+        val count = (window / length).toInt()
+        for ((age, counts) in buckets()) {
+            if (age < count) counts.forEach { (key, calls) -> sums.merge(key, calls, Long::plus) }
+        }
+        return sums
+    }
+
+    /** Counts by the age of their bucket, oldest first; 0 is the running one. */
+    fun buckets(): List<Pair<Int, Map<K, Long>>> {
+        val now = running().index
+        return buckets.map { (now - it.index).toInt() to it.counts }
+    }
+
+    private fun running(): Bucket<K> {
+        val index = (clock.now() / length).toLong()
+        val last = buckets.lastOrNull()
+        val current = if (last?.index == index) last else Bucket<K>(index).also { buckets.addLast(it) }
+        while (buckets.first().index <= index - size) buckets.removeFirst()
+        return current
+    }
+
+    private class Bucket<K>(val index: Long, val counts: HashMap<K, Long> = HashMap())
+}
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/objective/CallCounters.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/objective/CallCounters.kt
@@ -3,12 +3,17 @@
 import io.jasmineford.core.call.Outcome
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.time.MonotonicClock
 import kotlinx.serialization.Serializable
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.minutes
 
 /**
  * What the counters are kept by.
  *
- * @property account null for open routes.
+ * @property account null for open routes and for calls without a known key.
  * @property reason null for plain results.
  */
 @Serializable
@@ -20,22 +25,89 @@
     val reason: Reason? = null,
 )
 
-/** Calls by account, route, zone, outcome and reason since the process started. */
-class CallCounters {
-    private val counts = HashMap<CallLabels, Long>()
+/** Calls with the same labels. */
+@Serializable
+data class CallCount(
+    val labels: CallLabels,
+    val calls: Long,
+)
+
+/** Calls within the last [seconds]. */
+@Serializable
+data class WindowCounts(
+    val seconds: Long,
+    val counts: List<CallCount>,
+)
+
+/** Counted and broken calls of one minute; 0 is the running one. */
+@Serializable
+data class MinuteCounts(
+    val minutesAgo: Int,
+    val counted: Long,
+    val broken: Long,
+)
+
+/** What one daemon tells about its objectives. */
+@Serializable
+data class ObjectiveSnapshot(
+    val vm: String,
+    val objectives: List<Objective>,
+    val windows: List<WindowCounts>,
+    val minutes: List<MinuteCounts>,
+)
+
+/** Windows of the burn rates. The longest one is the budget's. */
+object BurnWindows {
+    val FAST_SHORT: Duration = 5.minutes
+    val FAST_LONG: Duration = 1.hours
+    val SLOW_SHORT: Duration = 30.minutes
+    val SLOW_LONG: Duration = 6.hours
+    val BUDGET: Duration = 3.days
+    val ALL: List<Duration> = listOf(FAST_SHORT, SLOW_SHORT, FAST_LONG, SLOW_LONG, BUDGET)
+}
+
+/**
+ * Calls by account, route, zone, outcome and reason in sliding windows. Memory is bounded by the buckets and by
+ * [labelLimit] label sets a bucket; further accounts are counted together without a name.
+ */
+class CallCounters(clock: MonotonicClock, private val labelLimit: Int = DEFAULT_LABEL_LIMIT) {
+    private val minutes = BucketRing<CallLabels>(clock, 1.minutes, MINUTE_BUCKETS)
+    private val tenMinutes = BucketRing<CallLabels>(clock, 10.minutes, TEN_MINUTE_BUCKETS)
+    private val hours = BucketRing<CallLabels>(clock, 1.hours, HOUR_BUCKETS)
 
     /** Counts one answered call. */
     fun count(labels: CallLabels) {
-        counts.merge(labels, 1L, Long::plus)
+        for (ring in listOf(minutes, tenMinutes, hours)) {
+            val isRoom = ring.hasKey(labels) || ring.keysNow() < labelLimit
+            ring.add(if (isRoom) labels else labels.copy(account = null, route = OTHER_ROUTE))
+        }
     }
 
-    /** All counts. */
-    fun snapshot(): List<CallCount> = counts.map { (labels, calls) -> CallCount(labels, calls) }
-}
+    /** Counts of all windows. */
+    fun snapshot(vm: String, objectives: List<Objective>): ObjectiveSnapshot = ObjectiveSnapshot(
+        vm = vm,
+        objectives = objectives,
+        windows = BurnWindows.ALL.map { WindowCounts(it.inWholeSeconds, ringFor(it).sum(it).map { (k, n) -> CallCount(k, n) }) },
+        minutes = minutes.buckets().map { (age, counts) ->
+            MinuteCounts(
+                minutesAgo = age,
+                counted = counts.filterKeys { it.isCounted }.values.sum(),
+                broken = counts.filterKeys { it.breaks(Promise.ANSWERED) }.values.sum(),
+            )
+        },
+    )
 
-/** One row of [CallCounters.snapshot]. */
-@Serializable
-data class CallCount(
-    val labels: CallLabels,
-    val calls: Long,
-)
+    private fun ringFor(window: Duration) = when {
+        window <= BurnWindows.FAST_LONG -> minutes
+        window <= BurnWindows.SLOW_LONG -> tenMinutes
+        else -> hours
+    }
+
+    private companion object {
+        const val MINUTE_BUCKETS = 60
+        const val TEN_MINUTE_BUCKETS = 36
+        const val HOUR_BUCKETS = 72
+        const val DEFAULT_LABEL_LIMIT = 1_000
+        const val OTHER_ROUTE = "other"
+    }
+}
--- /dev/null
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/objective/DecisionLog.kt
@@ -0,0 +1,72 @@
+package io.jasmineford.core.objective
+
+import io.jasmineford.core.program.ProgramId
+import kotlinx.serialization.Serializable
+
+/** What was decided about a call. */
+@Serializable
+enum class DecisionStep { ARRIVED, FORWARDED, KEPT, QUEUED, PLACED, EXPIRED, RETRIED, ANSWERED }
+
+/**
+ * One decision about a call of a program.
+ *
+ * @property at wall clock in milliseconds since 1970, for people and for the order of the report only.
+ * @property sequence order of the decisions of one VM.
+ * @property waitedMs how long the call waited before this decision; 0 where it did not wait.
+ */
+@Serializable
+data class DecisionRecord(
+    val program: String,
+    val vm: String,
+    val at: Long,
+    val sequence: Long,
+    val step: DecisionStep,
+    val detail: String,
+    val waitedMs: Long = 0,
+)
+
+/**
+ * The newest decisions of each program. Memory is bounded: the program that was silent longest is dropped first, and
+ * each program keeps its last [recordLimit] decisions. May be used from any thread.
+ *
+ * @param wallClock milliseconds since 1970.
+ */
+class DecisionLog(
+    private val vm: String,
+    private val wallClock: () -> Long,
+    private val programLimit: Int = DEFAULT_PROGRAMS,
+    private val recordLimit: Int = DEFAULT_RECORDS,
+) {
+    private val programs = LinkedHashMap<String, ArrayDeque<DecisionRecord>>(INITIAL_CAPACITY, LOAD_FACTOR, true)
+    private var sequence = 0L
+
+    /** Records a decision; does nothing for a call outside any program. */
+    @Synchronized
+    fun record(program: ProgramId?, step: DecisionStep, detail: String, waitedMs: Long = 0) {
+        val name = program?.toString() ?: return
+        val records = programs.getOrPut(name) { ArrayDeque() }
+        records.addLast(DecisionRecord(name, vm, wallClock(), sequence++, step, detail, waitedMs))
+        if (records.size > recordLimit) records.removeFirst()
+        if (programs.size > programLimit) programs.remove(programs.keys.first())
+    }
+
+    /** Decisions about the programs whose whole id or own name is [id], oldest first. */
+    @Synchronized
+    fun of(id: String): List<DecisionRecord> = programs
+        .filterKeys { it == id || it.split('/', limit = ID_PARTS).last() == id }
+        .values.flatten()
+
+    private companion object {
+        const val DEFAULT_PROGRAMS = 2_000
+        const val DEFAULT_RECORDS = 64
+        const val INITIAL_CAPACITY = 16
+        const val LOAD_FACTOR = 0.75f
+
+        /** Organisation, account and name; only the name may hold further slashes. */
+        const val ID_PARTS = 3
+    }
+}
+
+/** Decisions of several VMs in one order: by wall clock, and by each VM's own order where that ties. */
+fun inOrder(records: List<DecisionRecord>): List<DecisionRecord> =
+    records.distinct().sortedWith(compareBy({ it.at }, { it.vm }, { it.sequence }))
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
@@ -135,7 +135,7 @@
         pools.update(place.slots) { inFlight++ }
         call.program?.let { placement.ranAt(it, place.slots) }
         running[call.id] = RunningCall(call, place.slots, now, charged, place.expectedCached)
-        return ScheduleDecision.Dispatch(call.id, place.slots.endpoint)
+        return ScheduleDecision.Dispatch(call.id, place.slots.endpoint, place.expectedCached)
     }
 
     private class RunningCall(
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/QueuedCall.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/QueuedCall.kt
@@ -36,8 +36,16 @@
     /** Id of the call. */
     val call: Long
 
-    /** The call goes to [endpoint] now and occupies one slot of its window until [CallScheduler.finished]. */
-    data class Dispatch(override val call: Long, val endpoint: Endpoint) : ScheduleDecision
+    /**
+     * The call goes to [endpoint] now and occupies one slot of its window until [CallScheduler.finished].
+     *
+     * @property expectedCached prompt tokens that the endpoint is believed to cache.
+     */
+    data class Dispatch(
+        override val call: Long,
+        val endpoint: Endpoint,
+        val expectedCached: Long = 0,
+    ) : ScheduleDecision
 
     /** The deadline passed before a slot was free; the call did not run. */
     data class Expire(override val call: Long) : ScheduleDecision
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/DaemonMetrics.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/DaemonMetrics.kt
@@ -1,12 +1,16 @@
 package io.jasmineford.daemon
 
+import com.sun.management.OperatingSystemMXBean
 import io.jasmineford.core.objective.CallLabels
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
+import java.lang.management.ManagementFactory
 
-/** Prometheus metrics of one daemon. */
+/** Prometheus metrics of one daemon. Names and meanings are in docs/metrics.md. */
 internal class DaemonMetrics {
     private val registry = PrometheusRegistry()
     private val calls = Counter.builder()
@@ -15,6 +19,24 @@
         .labelNames("account", "route", "zone", "outcome", "reason")
         .register(registry)
 
+    init {
+        CounterWithCallback.builder()
+            .name("process_cpu_seconds_total")
+            .help("CPU time of the process in seconds.")
+            .callback { it.call(system.processCpuTime / NANOSECONDS_A_SECOND) }
+            .register(registry)
+        GaugeWithCallback.builder()
+            .name("jvm_heap_used_bytes")
+            .help("Heap in use, unreachable objects that were not collected yet included.")
+            .callback { it.call(memory.heapMemoryUsage.used.toDouble()) }
+            .register(registry)
+        GaugeWithCallback.builder()
+            .name("jvm_heap_committed_bytes")
+            .help("Heap that the process has taken from the system.")
+            .callback { it.call(memory.heapMemoryUsage.committed.toDouble()) }
+            .register(registry)
+    }
+
     /** Counts one answered call. */
     fun answered(labels: CallLabels) {
         val account = labels.account?.toString() ?: "none"
@@ -28,4 +50,10 @@
         PrometheusTextFormatWriter.builder().build().write(out, registry.scrape())
         return out.toString(Charsets.UTF_8)
     }
+
+    private companion object {
+        val system = ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean
+        val memory = ManagementFactory.getMemoryMXBean()
+        const val NANOSECONDS_A_SECOND = 1e9
+    }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -9,9 +9,10 @@
 import io.jasmineford.core.key.digestOfKey
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
-import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.limit.StaticDivisionLimiter
 import io.jasmineford.core.objective.CallCounters
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
@@ -43,6 +44,7 @@
 import io.jasmineford.daemon.settings.EntrySettings
 import io.jasmineford.daemon.settings.journal
 import io.jasmineford.daemon.settings.membership
+import io.jasmineford.daemon.settings.objectives
 import io.jasmineford.daemon.settings.synchronisation
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.store.ObjectStore
@@ -83,10 +85,11 @@
     private val scope = CoroutineScope(SupervisorJob() + control)
     private val nonces: () -> String = { UUID.randomUUID().toString() }
     private val holder = ConfigurationHolder(clock, settings.configurationMaxProofAgeMs.milliseconds)
-    private val counters = CallCounters()
+    private val counters = CallCounters(clock)
+    private val decisions = DecisionLog(settings.vm, wallClock = System::currentTimeMillis)
     private val metrics = DaemonMetrics()
     private val client = HttpClient(CIO) { install(HttpTimeout) }
-    private val queue = EndpointQueue(CallScheduler(clock), control)
+    private val queue = EndpointQueue(CallScheduler(clock), control, clock, decisions)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
@@ -191,6 +194,7 @@
             models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client, clock)),
             services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
             forward = peers::forward,
+            decisions = decisions,
         )
         driver.start()
         keeper.start()
@@ -225,8 +229,9 @@
         zone = settings.zone,
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
-        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
+        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }, decisions),
         handle = { requests.counted(guard.guard(it, router::handle)) },
+        decisions = decisions,
         addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
         isOut = { isLeaving },
         onAnswered = { labels ->
@@ -240,7 +245,8 @@
         status = { withContext(control) { status() } },
         configuration = { withContext(control) { holder.current } },
         isReady = { isReady() },
-        counts = { withContext(control) { counters.snapshot() } },
+        objectives = { withContext(control) { counters.snapshot(settings.vm, settings.objectives()) } },
+        explain = decisions::of,
         metrics = metrics::exposition,
     )
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/CallRouter.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/CallRouter.kt
@@ -8,6 +8,8 @@
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.config.route
 import io.jasmineford.core.lease.Membership
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.objective.DecisionStep
 import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.control.CallCount
@@ -44,6 +46,7 @@
     private val models: ModelCalls,
     private val services: ServiceCalls,
     private val forward: (peerAddress: String, call: Call) -> Flow<CallEvent>,
+    private val decisions: DecisionLog,
 ) {
     /** The whole answer to [call]. */
     fun handle(call: Call): Flow<CallEvent> = flow {
@@ -59,8 +62,18 @@
         val program = target.program ?: return emitAll(run(call, target))
         while (true) {
             when (val place = withContext(control) { placeOf(program, call) }) {
-                is Place.Here -> return runKept(call, target, place.count)
-                is Place.There -> if (forwarded(place.peerAddress, call)) return else delay(PLACE_RETRY)
+                is Place.Here -> {
+                    decisions.record(program, DecisionStep.KEPT, "this VM keeps the program")
+                    return runKept(call, target, place.count)
+                }
+
+                is Place.There -> {
+                    decisions.record(program, DecisionStep.FORWARDED, "to the keeper's peer port ${place.peerAddress}")
+                    if (forwarded(place.peerAddress, call)) return
+                    decisions.record(program, DecisionStep.RETRIED, "the keeper was lost before the answer began")
+                    delay(PLACE_RETRY)
+                }
+
                 is Place.Nowhere -> emitRefusal(place.refusal).also { return }
                 Place.NotYet -> delay(PLACE_RETRY)
             }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EndpointQueue.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EndpointQueue.kt
@@ -3,9 +3,12 @@
 import io.jasmineford.core.config.Configuration
 import io.jasmineford.core.config.Endpoint
 import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.objective.DecisionStep
 import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.schedule.QueuedCall
 import io.jasmineford.core.schedule.ScheduleDecision
+import io.jasmineford.core.time.MonotonicClock
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineDispatcher
@@ -20,8 +23,11 @@
 internal class EndpointQueue(
     private val scheduler: CallScheduler,
     private val control: CoroutineDispatcher,
+    private val clock: MonotonicClock,
+    private val decisions: DecisionLog,
 ) {
     private val waiters = HashMap<Long, CompletableDeferred<Endpoint?>>()
+    private val queued = HashMap<Long, QueuedCall>()
     private var nextId = 1L
 
     /** Expires waiting calls until the scope is cancelled. */
@@ -49,6 +55,7 @@
         val id = withContext(control) {
             val id = nextId++
             waiters[id] = waiter
+            queued[id] = call
             perform(scheduler.submit(call.copy(id = id)))
             id
         }
@@ -60,6 +67,7 @@
         } finally {
             withContext(NonCancellable + control) {
                 waiters.remove(id)
+                queued.remove(id)
                 perform(scheduler.finished(id))
             }
         }
@@ -68,10 +76,25 @@
     private fun perform(decisions: List<ScheduleDecision>) {
         for (decision in decisions) {
             val endpoint = (decision as? ScheduleDecision.Dispatch)?.endpoint
+            recordDecision(decision)
             waiters[decision.call]?.complete(endpoint)
         }
     }
 
+    private fun recordDecision(decision: ScheduleDecision) {
+        val call = queued[decision.call] ?: return
+        val waited = (clock.now() - call.submittedAt).inWholeMilliseconds
+        val (step, detail) = when (decision) {
+            is ScheduleDecision.Dispatch -> DecisionStep.PLACED to
+                "endpoint ${decision.endpoint.name} in ${decision.endpoint.zone}, " +
+                "${decision.expectedCached} of ${call.promptTokens} prompt tokens expected in its cache, " +
+                "${scheduler.waitingFor(call.deployment)} calls left in the queue of ${call.deployment}"
+
+            is ScheduleDecision.Expire -> DecisionStep.EXPIRED to "no endpoint of ${call.deployment} was free before the deadline"
+        }
+        decisions.record(call.program, step, detail, waited)
+    }
+
     private companion object {
         val TICK_INTERVAL = 10.milliseconds
     }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AdmissionGate.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AdmissionGate.kt
@@ -15,6 +15,10 @@
 import io.jasmineford.core.limit.AccountLimiter
 import io.jasmineford.core.limit.AccountRate
 import io.jasmineford.core.limit.Admission
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.objective.DecisionStep.ANSWERED
+import io.jasmineford.core.objective.DecisionStep.ARRIVED
+import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.time.MonotonicClock
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.delay
@@ -34,22 +38,35 @@
     private val clock: MonotonicClock,
     private val configuration: ConfigurationHolder,
     private val limiter: AccountLimiter,
+    private val decisions: DecisionLog,
 ) {
     /** Finds the account of [key]; waits for the account's rate until [deadline]. */
     suspend fun admit(
         key: String?,
         openRoute: ScopedName?,
         deadline: Duration,
+        program: String?,
     ): Result<Caller, Refusal> {
+        val arrivedAt = clock.now()
         while (true) {
             // The key is checked again after each wait, since it may have been withdrawn meanwhile.
             val identified = withContext(control) { identify(key, openRoute) }
             val caller = identified.get() ?: return identified
             val admission = withContext(control) { limiter.admit(caller.account, rateOf(caller)) }
             when (admission) {
-                Admission.Admitted -> return Ok(caller)
-                is Admission.Wait -> if (clock.now() + admission.delay > deadline) return Err(exceeded(admission))
-                else delay(admission.delay)
+                Admission.Admitted -> {
+                    val waited = (clock.now() - arrivedAt).inWholeMilliseconds
+                    decisions.record(program?.let { ProgramId(caller.account, it) }, ARRIVED, "admitted by the account's rate", waited)
+                    return Ok(caller)
+                }
+
+                is Admission.Wait -> if (clock.now() + admission.delay > deadline) {
+                    val refusal = exceeded(admission)
+                    decisions.record(program?.let { ProgramId(caller.account, it) }, ANSWERED, "refused: ${refusal.detail}")
+                    return Err(refusal)
+                } else {
+                    delay(admission.delay)
+                }
             }
         }
     }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
@@ -9,6 +9,9 @@
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.objective.CallLabels
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.objective.DecisionStep
+import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.call.Call
 import io.jasmineford.daemon.call.CallEvent
@@ -47,6 +50,7 @@
     val clock: MonotonicClock,
     val defaultDeadline: Duration,
     val gate: AdmissionGate,
+    val decisions: DecisionLog,
     val handle: (Call) -> Flow<CallEvent>,
     val addresses: suspend (key: String?, program: String?, zone: String?) -> AddressAnswer,
     val isOut: suspend () -> Boolean,
@@ -84,6 +88,8 @@
         )
     }
     val end = call.respondEvents(events, vm)
+    val program = account?.let { known -> request.program?.let { ProgramId(known, it) } }
+    decisions.record(program, DecisionStep.ANSWERED, listOfNotNull(end.outcome.label, end.reason?.label).joinToString(": "))
     // A caller chooses the name of a route freely, so only names that a known account used become a label.
     val route = if (account == null) "none" else serviceRoute ?: "chat"
     onAnswered(CallLabels(account, route, zone, end.outcome, end.reason))
@@ -91,7 +97,7 @@
 
 private suspend fun CallerPort.admit(request: CallerRequest): Result<Caller, Refusal> {
     val fault = request.credentialFault()
-    return if (fault != null) Err(fault) else gate.admit(request.keys.firstOrNull(), request.openRoute, request.deadline)
+    return if (fault != null) Err(fault) else gate.admit(request.keys.firstOrNull(), request.openRoute, request.deadline, request.program)
 }
 
 private suspend fun CallerPort.redirection(key: String?, program: String?): Flow<CallEvent> {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/operator/OperatorServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/operator/OperatorServer.kt
@@ -11,8 +11,9 @@
 import io.jasmineford.core.config.ServiceState
 import io.jasmineford.core.config.checkReleaseNote
 import io.jasmineford.core.config.parseReleaseNote
-import io.jasmineford.core.objective.CallCount
 import io.jasmineford.core.config.requestDigest
+import io.jasmineford.core.objective.DecisionRecord
+import io.jasmineford.core.objective.ObjectiveSnapshot
 import io.jasmineford.daemon.control.PublishError
 import io.jasmineford.daemon.control.PublishRequest
 import io.ktor.http.ContentType
@@ -20,6 +21,7 @@
 import io.ktor.server.application.Application
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.receiveText
+import io.ktor.server.response.respond
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Routing
 import io.ktor.server.routing.get
@@ -73,7 +75,8 @@
     val status: suspend () -> DaemonStatus,
     val configuration: suspend () -> Configuration,
     val isReady: suspend () -> Boolean,
-    val counts: suspend () -> List<CallCount>,
+    val objectives: suspend () -> ObjectiveSnapshot,
+    val explain: (program: String) -> List<DecisionRecord>,
     val metrics: () -> String,
 )
 
@@ -91,7 +94,14 @@
         get("/configuration") {
             call.respondText(Json.encodeToString(port.configuration()), ContentType.Application.Json)
         }
-        get("/objectives") { call.respondText(Json.encodeToString(port.counts()), ContentType.Application.Json) }
+        get("/objectives") { call.respondText(Json.encodeToString(port.objectives()), ContentType.Application.Json) }
+        // A program's id holds slashes.
+        get("/programs/{path...}") {
+            val path = call.parameters.getAll("path").orEmpty()
+            if (path.lastOrNull() != "explain") return@get call.respond(HttpStatusCode.NotFound)
+            val records = port.explain(path.dropLast(1).joinToString("/"))
+            call.respondText(Json.encodeToString(records), ContentType.Application.Json)
+        }
         changeRoutes(port)
     }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -7,6 +7,8 @@
 import com.github.michaelbull.result.Result
 import io.jasmineford.core.config.SyncSettings
 import io.jasmineford.core.lease.MembershipSettings
+import io.jasmineford.core.objective.Objective
+import io.jasmineford.core.objective.Promise
 import io.jasmineford.core.program.JournalSettings
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,6 +25,8 @@
  * @property platformUrl base URL of the object API.
  * @property stopGraceMs time from the start of a planned stop during which callers that still have this VM's address are
  *   told where to go; as long as an address answer holds.
+ * @property objectiveAnsweredPercent share of calls that must be answered with a result, see docs/reasons.md.
+ * @property objectiveAdmittedPercent share of calls within their rate that must not be refused.
  * @property dataDirectory folder on a small disk for cached history; empty when the VM has none.
  */
 @Serializable
@@ -46,6 +50,8 @@
     val callDeadlineMs: Long = 60_000,
     val storeTimeoutMs: Long = 2_000,
     val stopGraceMs: Long = 10_000,
+    val objectiveAnsweredPercent: Double = 99.9,
+    val objectiveAdmittedPercent: Double = 99.9,
 )
 
 /** A fault of the settings: the key, the value and the accepted range on one line. */
@@ -85,6 +91,8 @@
     checkRange("callDeadlineMs", settings.callDeadlineMs)
     checkRange("storeTimeoutMs", settings.storeTimeoutMs)
     checkRange("stopGraceMs", settings.stopGraceMs)
+    checkPercent("objectiveAnsweredPercent", settings.objectiveAnsweredPercent)
+    checkPercent("objectiveAdmittedPercent", settings.objectiveAdmittedPercent)
     // A lease must survive one lost renewal.
     if (settings.leaseRenewEveryMs > settings.leaseTimeToLiveMs / 2) {
         val most = settings.leaseTimeToLiveMs / 2
@@ -115,6 +123,12 @@
 /** Times of group commit. */
 fun EntrySettings.journal(): JournalSettings = JournalSettings(linger = journalLingerMs.milliseconds)
 
+/** Service-level objectives; each holds for every account, route and zone. */
+fun EntrySettings.objectives(): List<Objective> = listOf(
+    Objective(Promise.ANSWERED, objectiveAnsweredPercent / WHOLE_PERCENT),
+    Objective(Promise.ADMITTED, objectiveAdmittedPercent / WHOLE_PERCENT),
+)
+
 /** Names the accepted range too where the fault is a value that isn't a whole number, for example one with a unit. */
 private fun syntaxError(e: YamlException): SettingsError {
     val key = e.path.toHumanReadableString()
@@ -132,6 +146,15 @@
     if (value !in range) add(SettingsError(key, "expected ${range.first} to ${range.last}, actual $value"))
 }
 
+private fun MutableList<SettingsError>.checkPercent(key: String, value: Double) {
+    if (value !in PERCENT) add(SettingsError(key, "expected ${PERCENT.start} to ${PERCENT.endInclusive}, actual $value"))
+}
+
+private const val WHOLE_PERCENT = 100.0
+
+/** A target of 100 % would leave no budget, so that no burn rate is defined. */
+private val PERCENT = 50.0..99.999
+
 private const val READS_A_PROOF = 4
 
 /** A request that the store accepted may take effect some timeouts after its sender gave up. */
