Measure running daemons against the direct way to their endpoints

bench live sends a bounded closed loop of requests on loopback to endpoints directly and through the daemons in the same run, and reads CPU and memory of each daemon from /metrics, which now exports them. It starts no process.

--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/bench/BenchCommands.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/bench/BenchCommands.kt
@@ -27,6 +27,7 @@
     BenchListCommand(),
     BenchRunCommand(),
     BenchCompareCommand(),
+    BenchLiveCommand(),
 )
 
 private class BenchCommand : CliktCommand(name = "bench") {
--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/bench/BenchLiveCommand.kt
@@ -0,0 +1,119 @@
+package io.jasmineford.cli.bench
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.split
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.int
+import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
+import io.jasmineford.bench.Measurement
+import io.jasmineford.bench.PRODUCT_VARIANT
+import io.jasmineford.bench.toLine
+import io.jasmineford.cli.EXIT_BAD_INPUT
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.IOException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** Measures processes that the user started; starts none. docs/live-results.md tells how to start them. */
+internal class BenchLiveCommand : CliktCommand(name = "live") {
+    private val daemons by option("--daemons", help = "caller addresses, host:port,...").split(",").required()
+    private val operators by option("--operators", help = "operator addresses, host:port,...").split(",").required()
+    private val engines by option("--engines", help = "engine addresses, host:port,...").split(",").required()
+    private val services by option("--services", help = "service addresses, host:port,...").split(",").required()
+    private val key by option("--key", help = "key of a client account").required()
+    private val model by option("--model", help = "route of the engines").default("drafting")
+    private val service by option("--service", help = "route of the services").default("lookup")
+    private val duration by option("--seconds", help = "longest time").int().restrictTo(1..MAX_SECONDS).default(DEFAULT_SECONDS)
+    private val requests by option("--requests", help = "most requests").long().restrictTo(1L..MAX_REQUESTS).default(DEFAULT_REQUESTS)
+    private val workers by option("--workers", help = "requests at a time").int().restrictTo(1..MAX_WORKERS).default(DEFAULT_WORKERS)
+    private val format by option("--format").choice("json", "table").default("json")
+
+    override fun help(context: Context) = "Bounded load on running daemons and stand-ins on loopback, against the direct way."
+
+    override fun run() {
+        val foreign = (daemons + operators + engines + services).filterNot { it.substringBefore(':') in LOOPBACK }
+        if (foreign.isNotEmpty()) throw CliktError("expected loopback addresses, actual $foreign", statusCode = EXIT_BAD_INPUT)
+        val measurements = runBlocking { measure() }
+        if (format == "json") measurements.forEach { echo(it.toLine()) } else echo(measurementTable(measurements))
+    }
+
+    private suspend fun measure(): List<Measurement> = HttpClient(CIO).use { http ->
+        val targets = LiveTargets(daemons, engines, services, key, model, service)
+        val before = operators.map { metricsOf(http, it) }
+        LiveLoad(targets, workers, requests, duration.seconds).use { load ->
+            val took = load.run()
+            val after = operators.map { metricsOf(http, it) }
+            legs(load, took) + added(load) + resources(before, after, took)
+        }
+    }
+
+    private fun legs(load: LiveLoad, took: Duration): List<Measurement> = load.results.flatMap { (leg, result) ->
+        val count = result.latency.totalCount
+        listOf(
+            of(leg.label, "time-a-request", if (count == 0L) 0.0 else took.toDouble(DurationUnit.SECONDS) / count, "s"),
+            of(leg.label, "requests", count.toDouble(), "requests"),
+            of(leg.label, "failures", result.failures.toDouble(), "requests"),
+        ) + PERCENTILES.map { of(leg.label, "latency-p$it", result.latency.ms(it), "ms") }
+    }
+
+    private fun added(load: LiveLoad): List<Measurement> = PERCENTILES.flatMap { share ->
+        fun of(leg: Leg) = load.results.getValue(leg).latency.ms(share)
+        listOf(
+            of(PRODUCT_VARIANT, "engine-call-added-p$share", of(Leg.ENGINE_CALL) - of(Leg.ENGINE_DIRECT), "ms"),
+            of(PRODUCT_VARIANT, "engine-turn-added-p$share", of(Leg.ENGINE_TURN) - of(Leg.ENGINE_DIRECT), "ms"),
+            of(PRODUCT_VARIANT, "service-call-added-p$share", of(Leg.SERVICE_CALL) - of(Leg.SERVICE_DIRECT), "ms"),
+        )
+    }
+
+    private fun resources(before: List<Map<String, Double>>, after: List<Map<String, Double>>, took: Duration): List<Measurement> =
+        operators.indices.flatMap { index ->
+            val cpu = after[index].getValue(CPU) - before[index].getValue(CPU)
+            listOf(
+                of("daemon-${index + 1}", "cpu", cpu / took.toDouble(DurationUnit.SECONDS) * PERCENT, "% of a core"),
+                of("daemon-${index + 1}", "heap-used", after[index].getValue(HEAP) / BYTES_A_MEGABYTE, "MB"),
+                of("daemon-${index + 1}", "resident-before", before[index].getValue(RESIDENT) / BYTES_A_MEGABYTE, "MB"),
+                of("daemon-${index + 1}", "resident", after[index].getValue(RESIDENT) / BYTES_A_MEGABYTE, "MB"),
+            )
+        }
+
+    private suspend fun metricsOf(http: HttpClient, operator: String): Map<String, Double> = try {
+        http.get("http://$operator/metrics").bodyAsText().lines()
+            .filterNot { it.startsWith("#") || '{' in it || it.isBlank() }
+            .associate { it.substringBefore(' ') to it.substringAfter(' ').toDouble() }
+    } catch (e: IOException) {
+        throw CliktError("operator port $operator: ${e.message}", statusCode = EXIT_BAD_INPUT)
+    }
+
+    private fun of(variant: String, measure: String, value: Double, unit: String) =
+        Measurement("live", variant, measure, value, unit, bound = null, seed = 0)
+
+    private fun org.HdrHistogram.Histogram.ms(percentile: Int): Double = getValueAtPercentile(percentile.toDouble()) / MICROSECONDS_A_MS
+
+    private companion object {
+        val LOOPBACK = setOf("127.0.0.1", "localhost")
+        val PERCENTILES = listOf(50, 95, 99)
+        const val CPU = "process_cpu_seconds_total"
+        const val HEAP = "jvm_heap_used_bytes"
+        const val RESIDENT = "process_resident_memory_bytes"
+        const val PERCENT = 100.0
+        const val BYTES_A_MEGABYTE = 1e6
+        const val MICROSECONDS_A_MS = 1_000.0
+        const val MAX_SECONDS = 600
+        const val DEFAULT_SECONDS = 30
+        const val MAX_REQUESTS = 5_000_000L
+        const val DEFAULT_REQUESTS = 200_000L
+        const val MAX_WORKERS = 200
+        const val DEFAULT_WORKERS = 12
+    }
+}
--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/bench/LiveLoad.kt
@@ -0,0 +1,151 @@
+package io.jasmineford.cli.bench
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.contentType
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import kotlinx.io.IOException
+import org.HdrHistogram.ConcurrentHistogram
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.TimeSource
+import kotlin.time.measureTimedValue
+
+/** One way of a request to an endpoint. */
+internal enum class Leg(val label: String) {
+    /** Straight to the endpoint. */
+    ENGINE_DIRECT("engine-direct"),
+
+    /** A single model call through a daemon. */
+    ENGINE_CALL("engine-call"),
+
+    /** A turn of a program through a daemon; durable before the answer ends. */
+    ENGINE_TURN("engine-turn"),
+
+    /** Straight to the service. */
+    SERVICE_DIRECT("service-direct"),
+
+    /** A lookup through a daemon. */
+    SERVICE_CALL("service-call"),
+}
+
+/** Latencies and counts of one leg. */
+internal class LegResult {
+    val latency = ConcurrentHistogram(HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
+    val failures = AtomicLong()
+
+    private companion object {
+        const val HIGHEST_MICROSECONDS = 60_000_000L
+        const val SIGNIFICANT_DIGITS = 3
+    }
+}
+
+/** Where a live run sends its requests. All addresses are host and port on loopback. */
+internal data class LiveTargets(
+    val daemons: List<String>,
+    val engines: List<String>,
+    val services: List<String>,
+    val key: String,
+    val model: String,
+    val service: String,
+)
+
+/**
+ * Closed-loop load: each of [workers] sends one request of each leg after the other, so that all legs see the same
+ * machine at the same time.
+ */
+internal class LiveLoad(
+    private val targets: LiveTargets,
+    private val workers: Int,
+    private val maxRequests: Long,
+    private val limit: Duration,
+) : AutoCloseable {
+    private val sent = AtomicLong()
+    private val client = HttpClient(CIO) {
+        install(HttpTimeout) { requestTimeoutMillis = REQUEST_TIMEOUT_MS }
+        engine {
+            maxConnectionsCount = MAX_CONNECTIONS
+            endpoint { maxConnectionsPerRoute = MAX_CONNECTIONS }
+        }
+    }
+
+    /** Results by leg. */
+    val results: Map<Leg, LegResult> = Leg.entries.associateWith { LegResult() }
+
+    /** Runs until the time or the number of requests is used up; returns how long that took. */
+    suspend fun run(): Duration = withContext(Dispatchers.Default) {
+        val start = TimeSource.Monotonic.markNow()
+        coroutineScope {
+            repeat(workers) { worker -> launch { work(worker, start + limit) } }
+        }
+        start.elapsedNow()
+    }
+
+    override fun close() = client.close()
+
+    private suspend fun work(worker: Int, end: TimeSource.Monotonic.ValueTimeMark) {
+        var round = 0
+        while (end.hasNotPassedNow() && sent.addAndGet(Leg.entries.size.toLong()) <= maxRequests) {
+            for (leg in Leg.entries) measure(leg, worker, round)
+            round++
+        }
+    }
+
+    private suspend fun measure(leg: Leg, worker: Int, round: Int) {
+        val result = results.getValue(leg)
+        val (isOk, took) = measureTimedValue {
+            try {
+                val reply = send(leg, worker, round)
+                reply.bodyAsText()
+                reply.status.value < ERROR_STATUS
+            } catch (_: IOException) {
+                false
+            }
+        }
+        if (isOk) result.latency.recordValue(took.inWholeMicroseconds) else result.failures.incrementAndGet()
+    }
+
+    private suspend fun send(leg: Leg, worker: Int, round: Int): HttpResponse {
+        val daemon = targets.daemons[(worker + round) % targets.daemons.size]
+        return when (leg) {
+            Leg.ENGINE_DIRECT -> chat(targets.engines[(worker + round) % targets.engines.size])
+            Leg.ENGINE_CALL -> chat(daemon)
+            Leg.ENGINE_TURN -> chat(daemon, "live-$runId-$worker-${round / TURNS}", round % TURNS + 1)
+            Leg.SERVICE_DIRECT -> client.get("http://${targets.services[(worker + round) % targets.services.size]}/stock/1")
+            Leg.SERVICE_CALL -> client.get("http://$daemon/services/${targets.service}/stock/1") { header("Authorization", "Bearer ${targets.key}") }
+        }
+    }
+
+    private suspend fun chat(address: String, program: String? = null, turn: Int = 0) =
+        client.post("http://$address/v1/chat/completions") {
+            header("Authorization", "Bearer ${targets.key}")
+            if (program != null) {
+                header("Jasmineford-Program", program)
+                header("Jasmineford-Turn", turn)
+                if (turn == TURNS) header("Jasmineford-End", "true")
+            }
+            contentType(ContentType.Application.Json)
+            setBody("""{"model":"${targets.model}","messages":[{"role":"user","content":"Propose three dates."}]}""")
+        }
+
+    private companion object {
+        /** Tells programs of different runs apart. */
+        val runId = System.currentTimeMillis()
+        const val TURNS = 5
+        const val ERROR_STATUS = 400
+        const val MAX_CONNECTIONS = 1_000
+        const val REQUEST_TIMEOUT_MS = 30_000L
+    }
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/DaemonMetrics.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/DaemonMetrics.kt
@@ -9,6 +9,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import java.io.ByteArrayOutputStream
 import java.lang.management.ManagementFactory
+import java.nio.file.Files
+import java.nio.file.Path
 
 /** Prometheus metrics of one daemon. Names and meanings are in docs/metrics.md. */
 internal class DaemonMetrics {
@@ -35,6 +37,11 @@
             .help("Heap that the process has taken from the system.")
             .callback { it.call(memory.heapMemoryUsage.committed.toDouble()) }
             .register(registry)
+        GaugeWithCallback.builder()
+            .name("process_resident_memory_bytes")
+            .help("Resident memory of the process; absent where the system has no /proc.")
+            .callback { gauge -> residentBytes()?.let { gauge.call(it) } }
+            .register(registry)
     }
 
     /** Counts one answered call. */
@@ -51,7 +58,15 @@
         return out.toString(Charsets.UTF_8)
     }
 
+    private fun residentBytes(): Double? {
+        if (!Files.isReadable(PROCESS_STATUS)) return null
+        val line = Files.readAllLines(PROCESS_STATUS).firstOrNull { it.startsWith("VmRSS:") } ?: return null
+        return line.filter { it.isDigit() }.toDouble() * BYTES_A_KIBIBYTE
+    }
+
     private companion object {
+        val PROCESS_STATUS: Path = Path.of("/proc/self/status")
+        const val BYTES_A_KIBIBYTE = 1_024
         val system = ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean
         val memory = ManagementFactory.getMemoryMXBean()
         const val NANOSECONDS_A_SECOND = 1e9
