--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/program/LeaseBoard.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/program/LeaseBoard.kt
@@ -6,6 +6,7 @@
 import io.jasmineford.core.lease.ShardMap
 import io.jasmineford.core.lease.VmIdentity
 import io.jasmineford.core.lease.assignOrphans
+import io.jasmineford.core.lease.holder
 import io.jasmineford.core.lease.leaseJson
 import io.jasmineford.standin.platform.FakeObjectStore
 import io.jasmineford.store.ABSENT_VERSION
@@ -63,7 +64,10 @@
     private fun assign() {
         val stored = store.peek(SHARD_MAP_KEY)
         val before = map
-        val owners = assignOrphans(before.shards, live(), shards, before.epoch + 1)
+        val live = live()
+        val owners = assignOrphans(before.shards, live, shards, before.epoch + 1) { holder ->
+            live.none { it.holder == holder }
+        }
         if (owners == before.shards) return
         val version = stored?.version ?: ABSENT_VERSION
         store.put(SHARD_MAP_KEY, leaseJson.encodeToString(ShardMap(before.epoch + 1, owners)), version, "board").get()
