--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -2,16 +2,15 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.Server
-import io.jasmineford.core.address.AddressAnswer
-import io.jasmineford.core.address.chooseAddresses
 import io.jasmineford.core.config.ConfigurationHolder
 import io.jasmineford.core.config.FleetMember
-import io.jasmineford.core.key.digestOfKey
+import io.jasmineford.core.config.isOut
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
-import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.limit.StaticDivisionLimiter
 import io.jasmineford.core.objective.CallCounters
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
@@ -22,6 +21,7 @@
 import io.jasmineford.daemon.call.ModelCalls
 import io.jasmineford.daemon.call.ServiceCalls
 import io.jasmineford.daemon.call.ServiceClient
+import io.jasmineford.daemon.caller.AddressService
 import io.jasmineford.daemon.caller.AdmissionGate
 import io.jasmineford.daemon.caller.CallerPort
 import io.jasmineford.daemon.caller.KeyGuard
@@ -33,17 +33,21 @@
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
 import io.jasmineford.daemon.operator.operatorModule
+import io.jasmineford.daemon.peer.GrpcMembershipPeers
+import io.jasmineford.daemon.peer.OwnershipPort
 import io.jasmineford.daemon.peer.PeerClients
 import io.jasmineford.daemon.peer.PeerPort
 import io.jasmineford.daemon.peer.PeerService
 import io.jasmineford.daemon.peer.exchange
 import io.jasmineford.daemon.peer.peerServer
+import io.jasmineford.daemon.peer.renewFor
 import io.jasmineford.daemon.peer.toMember
 import io.jasmineford.daemon.peer.toMessage
 import io.jasmineford.daemon.peer.toView
 import io.jasmineford.daemon.settings.EntrySettings
 import io.jasmineford.daemon.settings.journal
 import io.jasmineford.daemon.settings.membership
+import io.jasmineford.daemon.settings.objectives
 import io.jasmineford.daemon.settings.synchronisation
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.store.ObjectStore
@@ -84,14 +88,16 @@
     private val scope = CoroutineScope(SupervisorJob() + control)
     private val nonces: () -> String = { UUID.randomUUID().toString() }
     private val holder = ConfigurationHolder(clock, settings.configurationMaxProofAgeMs.milliseconds)
-    private val counters = CallCounters()
+    private val counters = CallCounters(clock)
+    private val decisions = DecisionLog(settings.vm, wallClock = System::currentTimeMillis)
     private val metrics = DaemonMetrics()
     private val client = HttpClient(CIO) { install(HttpTimeout) }
-    private val queue = EndpointQueue(CallScheduler(clock), control)
+    private val queue = EndpointQueue(CallScheduler(clock), control, clock, decisions)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
     private val requests = RequestsInFlight()
+    private val addresses = addressService()
     private var isLeaving = false
     private var isClosed = false
     private lateinit var membership: Membership
@@ -125,9 +131,10 @@
         return identity
     }
 
-    /** Whether this VM can serve: its lease is valid and its configuration is proved current. */
+    /** Whether this VM can serve: it sees its own valid lease and its configuration is proved current. */
     suspend fun isReady(): Boolean = withContext(control) {
-        ::membership.isInitialized && membership.isLeaseValid() && holder.isProvedCurrent() && !isLeaving
+        val isMember = ::membership.isInitialized && membership.isLeaseValid() && settings.vm in membership.leases()
+        isMember && holder.isProvedCurrent() && !isLeaving
     }
 
     /** Generation of the configuration in force here. */
@@ -143,7 +150,7 @@
         val startedAt = clock.now()
         withContext(control) {
             isLeaving = true
-            membership.leave()
+            membership.setLeaving(true)
         }
         val isDrained = withTimeoutOrNull(patience) {
             while (requests.count > 0 || !withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
@@ -152,6 +159,8 @@
         val grace = settings.stopGraceMs.milliseconds - (clock.now() - startedAt)
         if (grace.isPositive()) delay(grace)
         log.event("daemon_stopped", "vm" to settings.vm, "drained" to (isDrained == true), "requests" to requests.count)
+        // An answer ends before its last bytes have left the server.
+        callerServer.stop(gracePeriodMillis = LAST_BYTES_GRACE_MS, timeoutMillis = LAST_BYTES_GRACE_MS + CLOSE_TIMEOUT_MS)
         close()
     }
 
@@ -170,7 +179,8 @@
 
     private fun startControl(identity: VmIdentity) {
         membership = Membership(identity, settings.membership(), clock, nonces, incarnationSource)
-        val driver = MembershipDriver(scope, store, membership)
+        val membershipPeers = GrpcMembershipPeers(peers, settings.storeTimeoutMs.milliseconds)
+        val driver = MembershipDriver(scope, store, membership, membershipPeers)
         keeper = ShardKeeper(
             vm = settings.vm,
             scope = scope,
@@ -193,6 +203,7 @@
             models = ModelCalls(control, clock, holder, keeper, queue, engines),
             services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
             forward = peers::forward,
+            decisions = decisions,
         )
         driver.start()
         keeper.start()
@@ -223,6 +234,7 @@
             onChange = {
                 queue.configurationChanged(it)
                 guard.configurationChanged(it)
+                membership.setLeaving(isOut())
             },
         )
         started.driver.start()
@@ -234,10 +246,11 @@
         zone = settings.zone,
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
-        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
+        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }, decisions),
         handle = { requests.counted(guard.guard(it, router::handle)) },
-        addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
-        isOut = { isLeaving },
+        addresses = addresses::answer,
+        isOut = { withContext(control) { isOut() } },
+        decisions = decisions,
         onAnswered = { labels ->
             metrics.answered(labels)
             withContext(control) { counters.count(labels) }
@@ -249,7 +262,8 @@
         status = { withContext(control) { status() } },
         configuration = { withContext(control) { holder.current } },
         isReady = { isReady() },
-        counts = { withContext(control) { counters.snapshot() } },
+        objectives = { withContext(control) { counters.snapshot(settings.vm, settings.objectives()) } },
+        explain = decisions::of,
         metrics = metrics::exposition,
     )
 
@@ -257,6 +271,10 @@
         clock = clock,
         handle = { requests.counted(guard.guard(it, router::handle)) },
         probe = { withContext(control) { probe() } },
+        ownership = OwnershipPort(
+            promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
+            renew = { renewFor(store, it) },
+        ),
         announced = { request ->
             val driver = configuration.await().driver
             val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
@@ -264,17 +282,25 @@
         },
     )
 
-    private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
-        val account = key?.let { holder.current.accountOf(digestOfKey(it)) }
-        val shard = if (account != null && program != null) keeper.shardOf(ProgramId(account, program)) else null
-        val owner = shard?.let { membership.map.shards.getOrNull(it) }
-        return chooseAddresses(membership.leases().values, holder.current.serviceState, owner?.vm, zone)
-    }
+    private fun addressService() = AddressService(
+        self = settings.vm,
+        control = control,
+        clock = clock,
+        configuration = holder,
+        membership = { membership },
+        keeperOf = { account, program ->
+            membership.map.shards.getOrNull(keeper.shardOf(ProgramId(account, program)))?.vm
+        },
+        probe = peers::probe,
+    )
+
+    /** Whether callers should use another VM. */
+    private fun isOut(): Boolean = isLeaving || holder.current.serviceState.isOut(settings.vm, settings.zone)
 
     private fun probe(): ProbeReply = ProbeReply.newBuilder()
         .setVm(settings.vm)
         .setIncarnation(membership.incarnation)
-        .setLeaving(isLeaving)
+        .setLeaving(isOut() || !holder.isProvedCurrent())
         .setGeneration(holder.current.generation)
         .build()
 
@@ -305,5 +331,6 @@
         val log = KotlinLogging.logger {}
         val STOP_POLL = 50.milliseconds
         const val CLOSE_TIMEOUT_MS = 500L
+        const val LAST_BYTES_GRACE_MS = 1_000L
     }
 }
