--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
@@ -4,9 +4,11 @@
 import io.jasmineford.bench.fleet.fleetScenario
 import io.jasmineford.bench.fleet.league
 import io.jasmineford.bench.fleet.shop
+import io.jasmineford.bench.program.faultMatrix
 
 /** All scenarios, in the order in which `bench run --all` runs them. */
 val scenarios: List<Scenario> = listOf(
     fleetScenario(league),
     fleetScenario(shop),
+    faultMatrix,
 ) + placementScenarios
--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/CapacityProbe.kt
@@ -0,0 +1,63 @@
+package io.jasmineford.bench.capacity
+
+import io.jasmineford.bench.Measurement
+import java.lang.management.ManagementFactory
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
+
+/**
+ * A quantity that grows with the size of something.
+ *
+ * @property sizeName what [sizes] count.
+ * @property sizes at least three sizes that are measured.
+ * @property designSize size at the design load, for which the value follows from the slope.
+ */
+class CapacityProbe(
+    val name: String,
+    val unit: String,
+    val sizeName: String,
+    val sizes: List<Int>,
+    val designSize: Int,
+    private val measure: (size: Int) -> Double,
+) {
+    /** Measures all sizes, and fits a line by least squares. */
+    fun run(): List<Measurement> {
+        // The first run compiles the code, which would make the smallest size look the most expensive.
+        measure(sizes.first())
+        val points = sizes.map { it to measure(it) }
+        val (slope, start) = fit(points)
+        return points.map { (size, value) -> of("$sizeName=$size", value, unit) } +
+            of("slope", slope, "$unit per $sizeName") +
+            of("fitted at $sizeName=$designSize", start + slope * designSize, unit)
+    }
+
+    private fun of(variant: String, value: Double, unit: String) = Measurement("capacity", variant, name, value, unit, null, 0)
+}
+
+/** Slope and value at 0 of the line closest to [points] by least squares. */
+internal fun fit(points: List<Pair<Int, Double>>): Pair<Double, Double> {
+    val meanX = points.map { it.first.toDouble() }.average()
+    val meanY = points.map { it.second }.average()
+    val slope = points.sumOf { (it.first - meanX) * (it.second - meanY) } / points.sumOf { (it.first - meanX) * (it.first - meanX) }
+    return slope to meanY - slope * meanX
+}
+
+/** CPU time of this thread for [block], which other processes on the machine do not add to. */
+internal fun cpuTime(block: () -> Unit): Duration {
+    val threads = ManagementFactory.getThreadMXBean()
+    val before = threads.currentThreadCpuTime
+    block()
+    return (threads.currentThreadCpuTime - before).nanoseconds
+}
+
+/** Heap in use after a collection, in bytes. */
+internal fun heapBytes(): Long {
+    repeat(COLLECTIONS) { System.gc() }
+    return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
+}
+
+/** All probes of docs/CAPACITY.md. */
+val capacityProbes: List<CapacityProbe> =
+    membershipProbes() + journalProbes() + programProbes() + configurationProbes() + schedulerProbes() + reportProbes()
+
+private const val COLLECTIONS = 3
--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/bench/BenchCommands.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/bench/BenchCommands.kt
@@ -28,6 +28,7 @@
     BenchRunCommand(),
     BenchCompareCommand(),
     BenchLiveCommand(),
+    BenchCapacityCommand(),
 )
 
 private class BenchCommand : CliktCommand(name = "bench") {
