--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
@@ -1,5 +1,7 @@
 package io.jasmineford.bench
 
+import io.jasmineford.bench.endpoint.fairScenario
+import io.jasmineford.bench.endpoint.memoryScenario
 import io.jasmineford.bench.endpoint.placementScenarios
 import io.jasmineford.bench.fleet.fleetScenario
 import io.jasmineford.bench.fleet.league
@@ -11,4 +13,4 @@
     fleetScenario(league),
     fleetScenario(shop),
     faultMatrix,
-) + placementScenarios
+) + placementScenarios + memoryScenario + fairScenario
