--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/CapacityProbe.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/CapacityProbe.kt
@@ -50,8 +50,15 @@
     return (threads.currentThreadCpuTime - before).nanoseconds
 }
 
-/** Heap in use after a collection, in bytes. */
-internal fun heapBytes(): Long {
+/** Heap that the result of [build] occupies, in megabytes: the heap in use with it less that without it. */
+internal fun heapMegabytes(build: () -> Any): Double {
+    val holder = arrayOf<Any?>(build())
+    val with = heapBytes()
+    holder[0] = null
+    return (with - heapBytes()) / BYTES_A_MEGABYTE
+}
+
+private fun heapBytes(): Long {
     repeat(COLLECTIONS) { System.gc() }
     return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
 }
@@ -61,3 +68,4 @@
     membershipProbes() + journalProbes() + programProbes() + configurationProbes() + schedulerProbes() + reportProbes()
 
 private const val COLLECTIONS = 3
+private const val BYTES_A_MEGABYTE = 1e6
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/ProgramProbes.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/ProgramProbes.kt
@@ -9,7 +9,6 @@
 import io.jasmineford.core.program.TurnRequest
 import io.jasmineford.core.program.Usage
 import io.jasmineford.core.time.VirtualClock
-import java.lang.ref.Reference
 import kotlin.time.Duration.Companion.microseconds
 
 private fun bookOf(programs: Int, turns: Int): ProgramBook {
@@ -27,13 +26,7 @@
     book.commit(decision.ticket, listOf(Message("assistant", text)), Usage(1_000, 300, 900))
 }
 
-private fun heapOf(programs: Int, turns: Int): Double {
-    val before = heapBytes()
-    val book = bookOf(programs, turns)
-    val used = heapBytes() - before
-    Reference.reachabilityFence(book)
-    return used / BYTES_A_MEGABYTE
-}
+private fun heapOf(programs: Int, turns: Int): Double = heapMegabytes { bookOf(programs, turns) }
 
 /** Heap of a keeper's histories by programs and by turns, and CPU of one turn by the turns before it. */
 internal fun programProbes(): List<CapacityProbe> = listOf(
@@ -50,4 +43,3 @@
 private const val DESIGN_TURNS = 340
 private const val TURN_CHARS = 3_000
 private const val CPU_PROGRAMS = 100
-private const val BYTES_A_MEGABYTE = 1e6
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/ReportProbes.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/ReportProbes.kt
@@ -8,11 +8,9 @@
 import io.jasmineford.core.objective.DecisionStep
 import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.time.VirtualClock
-import java.lang.ref.Reference
 import kotlin.time.Duration.Companion.minutes
 
-private fun countersHeap(accounts: Int): Double {
-    val before = heapBytes()
+private fun countersHeap(accounts: Int): Double = heapMegabytes {
     val clock = VirtualClock()
     val counters = CallCounters(clock)
     // A little more than an hour fills the ring of minutes; the coarser rings hold a few buckets then.
@@ -20,21 +18,16 @@
         repeat(accounts) { counters.count(CallLabels(ScopedName("organisation", "account-$it"), "chat", "zone", Outcome.RESULT)) }
         clock.advance(1.minutes)
     }
-    val used = heapBytes() - before
-    Reference.reachabilityFence(counters)
-    return used / BYTES_A_MEGABYTE
+    counters
 }
 
-private fun decisionsHeap(programs: Int): Double {
-    val before = heapBytes()
+private fun decisionsHeap(programs: Int): Double = heapMegabytes {
     val log = DecisionLog("vm", wallClock = { 0 })
     repeat(programs) { program ->
         val id = ProgramId(ScopedName("organisation", "account"), "program-$program")
         repeat(RECORDS) { log.record(id, DecisionStep.PLACED, StringBuilder("endpoint e$it, 900 of 1000 tokens cached").toString()) }
     }
-    val used = heapBytes() - before
-    Reference.reachabilityFence(log)
-    return used / BYTES_A_MEGABYTE
+    log
 }
 
 /** Heap of the burn counters and of the decision records. */
@@ -48,4 +41,3 @@
 private const val DESIGN_PROGRAMS = 923
 private const val MINUTES = 70
 private const val RECORDS = 64
-private const val BYTES_A_MEGABYTE = 1e6
