--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/fleet/FleetRun.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/fleet/FleetRun.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.bench.fleet
 
-import io.jasmineford.core.address.chooseAddresses
+import io.jasmineford.core.address.AddressQuery
+import io.jasmineford.core.address.rankVms
 import io.jasmineford.core.config.Configuration
 import io.jasmineford.core.config.Deployment
 import io.jasmineford.core.config.DeploymentKind
@@ -87,8 +88,9 @@
     /** VM that a caller in [zone] is told to use for [program], by the VM that answers. */
     internal fun entryOf(program: ProgramId, zone: String): SimulatedVm {
         val state = vms.random(random).configuration.current.serviceState
-        val answer = chooseAddresses(leases, state, keeperOf(program).name, zone)
-        return vms.first { it.name == answer.addresses.first() }
+        val query = AddressQuery(program.account, program.name, keeperOf(program).name, zone)
+        val best = rankVms(leases, state, query).first()
+        return vms.first { it.name == best.identity.vm }
     }
 
     /** One-way delay between two zones; within a zone it is a fifth of that. */
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -2,11 +2,9 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.Server
-import io.jasmineford.core.address.AddressAnswer
-import io.jasmineford.core.address.chooseAddresses
 import io.jasmineford.core.config.ConfigurationHolder
 import io.jasmineford.core.config.FleetMember
-import io.jasmineford.core.key.digestOfKey
+import io.jasmineford.core.config.isOut
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
 import io.jasmineford.core.limit.StaticDivisionLimiter
@@ -19,9 +17,11 @@
 import io.jasmineford.daemon.call.CallRouter
 import io.jasmineford.daemon.call.EndpointQueue
 import io.jasmineford.daemon.call.EngineClient
+import io.jasmineford.daemon.call.EngineMemory
 import io.jasmineford.daemon.call.ModelCalls
 import io.jasmineford.daemon.call.ServiceCalls
 import io.jasmineford.daemon.call.ServiceClient
+import io.jasmineford.daemon.caller.AddressService
 import io.jasmineford.daemon.caller.AdmissionGate
 import io.jasmineford.daemon.caller.CallerPort
 import io.jasmineford.daemon.caller.KeyGuard
@@ -33,11 +33,14 @@
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
 import io.jasmineford.daemon.operator.operatorModule
+import io.jasmineford.daemon.peer.GrpcMembershipPeers
+import io.jasmineford.daemon.peer.OwnershipPort
 import io.jasmineford.daemon.peer.PeerClients
 import io.jasmineford.daemon.peer.PeerPort
 import io.jasmineford.daemon.peer.PeerService
 import io.jasmineford.daemon.peer.exchange
 import io.jasmineford.daemon.peer.peerServer
+import io.jasmineford.daemon.peer.renewFor
 import io.jasmineford.daemon.peer.toMember
 import io.jasmineford.daemon.peer.toMessage
 import io.jasmineford.daemon.peer.toView
@@ -94,6 +97,7 @@
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
     private val requests = RequestsInFlight()
+    private val addresses = addressService()
     private var isLeaving = false
     private var isClosed = false
     private lateinit var membership: Membership
@@ -146,7 +150,7 @@
         val startedAt = clock.now()
         withContext(control) {
             isLeaving = true
-            membership.leave()
+            membership.setLeaving(true)
         }
         val isDrained = withTimeoutOrNull(patience) {
             while (requests.count > 0 || !withContext(control) { keeper.isEmpty() }) delay(STOP_POLL)
@@ -175,7 +179,8 @@
 
     private fun startControl(identity: VmIdentity) {
         membership = Membership(identity, settings.membership(), clock, nonces, incarnationSource)
-        val driver = MembershipDriver(scope, store, membership)
+        val membershipPeers = GrpcMembershipPeers(peers, settings.storeTimeoutMs.milliseconds)
+        val driver = MembershipDriver(scope, store, membership, membershipPeers)
         keeper = ShardKeeper(
             vm = settings.vm,
             scope = scope,
@@ -187,6 +192,7 @@
             shards = settings.shards,
             nonces = nonces,
         )
+        val engines = EngineClient(client, clock)
         router = CallRouter(
             self = settings.vm,
             control = control,
@@ -194,7 +200,7 @@
             configuration = holder,
             membership = membership,
             keeper = keeper,
-            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client, clock)),
+            models = ModelCalls(control, clock, holder, keeper, queue, engines),
             services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
             forward = peers::forward,
             decisions = decisions,
@@ -203,6 +209,13 @@
         keeper.start()
         startConfiguration(identity)
         queue.start(scope)
+        EngineMemory(
+            configuration = holder,
+            keeper = keeper,
+            engines = engines,
+            every = settings.engineCompareMs.milliseconds,
+            idle = settings.programIdleMs.milliseconds,
+        ).start(scope)
     }
 
     private fun startConfiguration(identity: VmIdentity) {
@@ -221,6 +234,7 @@
             onChange = {
                 queue.configurationChanged(it)
                 guard.configurationChanged(it)
+                membership.setLeaving(isOut())
             },
         )
         started.driver.start()
@@ -234,9 +248,9 @@
         defaultDeadline = settings.callDeadlineMs.milliseconds,
         gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }, decisions),
         handle = { requests.counted(guard.guard(it, router::handle)) },
+        addresses = addresses::answer,
+        isOut = { withContext(control) { isOut() } },
         decisions = decisions,
-        addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
-        isOut = { isLeaving },
         onAnswered = { labels ->
             metrics.answered(labels)
             withContext(control) { counters.count(labels) }
@@ -257,6 +271,10 @@
         clock = clock,
         handle = { requests.counted(guard.guard(it, router::handle)) },
         probe = { withContext(control) { probe() } },
+        ownership = OwnershipPort(
+            promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
+            renew = { renewFor(store, it) },
+        ),
         announced = { request ->
             val driver = configuration.await().driver
             val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
@@ -264,17 +282,25 @@
         },
     )
 
-    private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
-        val account = key?.let { holder.current.accountOf(digestOfKey(it)) }
-        val shard = if (account != null && program != null) keeper.shardOf(ProgramId(account, program)) else null
-        val owner = shard?.let { membership.map.shards.getOrNull(it) }
-        return chooseAddresses(membership.leases().values, holder.current.serviceState, owner?.vm, zone)
-    }
+    private fun addressService() = AddressService(
+        self = settings.vm,
+        control = control,
+        clock = clock,
+        configuration = holder,
+        membership = { membership },
+        keeperOf = { account, program ->
+            membership.map.shards.getOrNull(keeper.shardOf(ProgramId(account, program)))?.vm
+        },
+        probe = peers::probe,
+    )
+
+    /** Whether callers should use another VM. */
+    private fun isOut(): Boolean = isLeaving || holder.current.serviceState.isOut(settings.vm, settings.zone)
 
     private fun probe(): ProbeReply = ProbeReply.newBuilder()
         .setVm(settings.vm)
         .setIncarnation(membership.incarnation)
-        .setLeaving(isLeaving)
+        .setLeaving(isOut() || !holder.isProvedCurrent())
         .setGeneration(holder.current.generation)
         .build()
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -25,6 +25,8 @@
  * @property platformUrl base URL of the object API.
  * @property stopGraceMs time from the start of a planned stop during which callers that still have this VM's address are
  *   told where to go; as long as an address answer holds.
+ * @property engineCompareMs time between two comparisons of engine memory with the programs that are live.
+ * @property programIdleMs time without a call after which a program's engine memory is freed.
  * @property objectiveAnsweredPercent share of calls that must be answered with a result, see docs/reasons.md.
  * @property objectiveAdmittedPercent share of calls within their rate that must not be refused.
  * @property dataDirectory folder on a small disk for cached history; empty when the VM has none.
@@ -50,6 +52,8 @@
     val callDeadlineMs: Long = 60_000,
     val storeTimeoutMs: Long = 2_000,
     val stopGraceMs: Long = 10_000,
+    val engineCompareMs: Long = 30_000,
+    val programIdleMs: Long = 900_000,
     val objectiveAnsweredPercent: Double = 99.9,
     val objectiveAdmittedPercent: Double = 99.9,
 )
@@ -91,6 +95,8 @@
     checkRange("callDeadlineMs", settings.callDeadlineMs)
     checkRange("storeTimeoutMs", settings.storeTimeoutMs)
     checkRange("stopGraceMs", settings.stopGraceMs)
+    checkRange("engineCompareMs", settings.engineCompareMs)
+    checkRange("programIdleMs", settings.programIdleMs)
     checkPercent("objectiveAnsweredPercent", settings.objectiveAnsweredPercent)
     checkPercent("objectiveAdmittedPercent", settings.objectiveAdmittedPercent)
     // A lease must survive one lost renewal.
@@ -180,4 +186,6 @@
     "callDeadlineMs" to 10L..3_600_000L,
     "storeTimeoutMs" to INTERVAL_MS,
     "stopGraceMs" to 0L..600_000L,
+    "engineCompareMs" to 10L..3_600_000L,
+    "programIdleMs" to 10L..86_400_000L,
 )
