--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/MembershipProbes.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/capacity/MembershipProbes.kt
@@ -18,6 +18,9 @@
 import io.jasmineford.core.time.VirtualClock
 import io.jasmineford.standin.platform.FakeObjectStore
 import io.jasmineford.store.ABSENT_VERSION
+import io.jasmineford.store.VmCondition
+import io.jasmineford.store.VmListing
+import kotlinx.serialization.json.Json
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
@@ -35,6 +38,10 @@
     var bytes = 0L
         private set
 
+    /** Requests to peers for a promise not to revoke. */
+    var promises = 0
+        private set
+
     /** CPU of the state machine and of decoding the objects, without that of the fake store and the other daemons. */
     var cpu = Duration.ZERO
         private set
@@ -75,7 +82,20 @@
                 machine.onMapWritten(action, store.put(SHARD_MAP_KEY, value, action.expectedVersion, action.nonce))
             }
 
-            is MembershipAction.Revoke -> error("expected no revocation in a healthy fleet, actual $action")
+            is MembershipAction.Revoke, is MembershipAction.RemoveLease ->
+                error("expected no change in a healthy fleet, actual $action")
+
+            is MembershipAction.AskPromise -> {
+                promises++
+                cpu += cpuTime { machine.onPromise(action, isPromised = true) }
+            }
+
+            MembershipAction.ReadVms -> {
+                val vms = (0 until daemons).map { VmListing("vm-$it", "zone-${it % ZONES}", VmCondition.LIVE) }
+                count(1, Json.encodeToString(vms).length)
+                cpu += cpuTime { machine.onVmsRead(Ok(vms)) }
+            }
+
             MembershipAction.ReadAll -> {
                 val leases = store.list(LEASE_PREFIX, limit = 1_000).get()?.objects.orEmpty()
                 val map = store.get(SHARD_MAP_KEY).get()
@@ -104,6 +124,9 @@
     CapacityProbe("membership-bytes", "bytes/s a daemon", "daemon", DAEMONS, DESIGN_DAEMONS) { size ->
         MembershipMinute(size).run().bytes / MINUTE.inWholeSeconds.toDouble()
     },
+    CapacityProbe("membership-promises", "requests/s a daemon", "daemon", DAEMONS, DESIGN_DAEMONS) { size ->
+        MembershipMinute(size).run().promises / MINUTE.inWholeSeconds.toDouble()
+    },
     CapacityProbe("membership-cpu", "us/s a daemon", "daemon", DAEMONS, DESIGN_DAEMONS) { size ->
         MembershipMinute(size).run().cpu / 1.microseconds / MINUTE.inWholeSeconds
     },
