--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
@@ -6,10 +6,12 @@
 import io.jasmineford.bench.fleet.fleetScenario
 import io.jasmineford.bench.fleet.league
 import io.jasmineford.bench.fleet.shop
+import io.jasmineford.bench.program.faultMatrix
 import io.jasmineford.bench.program.programScenarios
 
 /** All scenarios, in the order in which `bench run --all` runs them. */
 val scenarios: List<Scenario> = listOf(
     fleetScenario(league),
     fleetScenario(shop),
+    faultMatrix,
 ) + placementScenarios + memoryScenario + fairScenario + programScenarios
