--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/address/AddressBook.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/address/AddressBook.kt
@@ -40,22 +40,22 @@
 /**
  * The VMs in service, best first: the keeper of the program, then VMs of the caller's zone, then the others. Among equals
  * the order is weighted rendezvous hashing, so each VM comes first for a part of the callers that is proportional to its
- * weight, and a VM that leaves changes the order of no others.
+ * weight, and a VM that leaves changes the order of no others. A group is ranked only when it is reached.
  */
 fun rankVms(
     leases: Collection<Lease>,
     state: ServiceState,
     query: AddressQuery,
     weightOf: (Lease) -> Double = { 1.0 },
-): List<Lease> {
+): Sequence<Lease> = sequence {
     val caller = "${query.account} ${query.program ?: query.salt}"
-    return leases.filter { state.isInService(it) }.sortedWith(
-        compareBy(
-            { it.identity.vm != query.keeper },
-            { it.identity.zone != query.zone },
-            { -score(caller, it.identity.vm, weightOf(it)) },
-        ),
-    )
+    fun ranked(group: List<Lease>) =
+        group.map { it to score(caller, it.identity.vm, weightOf(it)) }.sortedByDescending { it.second }.map { it.first }
+    val (keeper, others) = leases.filter { state.isInService(it) }.partition { it.identity.vm == query.keeper }
+    val (near, far) = others.partition { it.identity.zone == query.zone }
+    yieldAll(keeper)
+    yieldAll(ranked(near))
+    yieldAll(ranked(far))
 }
 
 /** Weighted rendezvous score (Schindelhauer and Schomaker, 2005): -weight / ln(hash in (0, 1)). */
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationObjects.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationObjects.kt
@@ -85,7 +85,7 @@
         // The generation keeps the key from ever naming a piece that is being deleted.
         known[hash] ?: "$PIECE_PREFIX${after.generation}-$hash".also { written[it] = text }
     }
-    val change = AcceptedChange(after.generation, request, names, dropped = before.pieces - pieces.toSet())
+    val change = AcceptedChange(after.generation, request, shortened(names), dropped = before.pieces - pieces.toSet())
     val recent = before.recent + change
     val index = ConfigurationIndex(after.generation, pieces, after.serviceState, recent.takeLast(RECENT_CHANGES))
     val indexText = Json.encodeToString(index)
@@ -131,7 +131,10 @@
     }
 }
 
-private fun <T> List<Map<String, T>>.merged(): Map<String, T> = fold(emptyMap()) { all, part -> all + part }
+private fun shortened(names: List<String>): List<String> =
+    if (names.size <= MAX_NAMES) names else names.take(MAX_NAMES) + "${names.size - MAX_NAMES} more"
+
+private fun <T> List<Map<String, T>>.merged(): Map<String, T> = buildMap { this@merged.forEach { putAll(it) } }
 
 private fun hashOf(text: String): String =
     Hashing.sha256().hashString(text, Charsets.UTF_8).toString().take(HASH_DIGITS)
@@ -141,8 +144,11 @@
 
 private const val PIECE_PREFIX = "config/pieces/"
 private const val INDEX_PREFIX = "config/index/"
-private const val HASH_DIGITS = 32
+private const val HASH_DIGITS = 16
 private const val ITEMS_PER_PIECE = 32
 
-/** Changes that a repeated request is compared with; 32 are 5 minutes at 9,000 changes a day. */
-private const val RECENT_CHANGES = 32
+/** Changes that a repeated request is compared with; 16 are 2.5 minutes at 9,000 changes a day. */
+private const val RECENT_CHANGES = 16
+
+/** Names kept of one change. Every VM reads them with the index, so they are few. */
+private const val MAX_NAMES = 5
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationSync.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationSync.kt
@@ -66,6 +66,7 @@
     private var nextList = startedAt
     private var nextLoad = startedAt
     private var nextIntroduction = startedAt
+    private var censusUntil = Duration.ZERO
     private var failures = 0
     private var writesUnderWay = 0
 
@@ -83,7 +84,7 @@
         val now = clock.now()
         if (now >= nextList) {
             // Until the own lease is listed, another VM may publish without knowing this one.
-            nextList = now + if (members.isSelfListed) settings.listEvery else settings.retryEvery
+            nextList = now + if (members.isSelfListed) listInterval() else settings.retryEvery
             add(SyncAction.ListMembers(now))
         }
         loadIfDue(now)?.let { add(it) }
@@ -139,6 +140,9 @@
     /** Takes the view of [from], which makes itself known by it, and returns this VM's view. */
     fun answer(from: FleetMember, view: PeerView): Pair<PeerView, List<SyncAction>> {
         members.introduced(from, clock.now())
+        // A watcher of another zone takes a census: it needs the statement of this zone soon.
+        val asksForZone = from.zone != self.zone && (view.proofAge ?: Duration.INFINITE) >= settings.censusAge
+        if (asksForZone) censusUntil = clock.now() + settings.maxProofAge
         val actions = onHint(ConfigurationHead(view.generation, view.index))
         val own = view()
         return (if (view.generation < own.generation) own else own.copy(index = "")) to actions
@@ -187,9 +191,15 @@
             nextRead = now + settings.readEvery
             add(SyncAction.ReadHead(now))
         }
-        if (holder.proofAge() >= settings.censusAge && now >= nextAsk) {
+        val isProofOld = holder.proofAge() >= settings.censusAge
+        if ((isProofOld || now < censusUntil) && now >= nextAsk) {
+            val takers = members.watchers(self.zone).take(CENSUS_TAKERS)
             nextAsk = now + settings.retryEvery
-            addAll(censusQuestions())
+            if (takers.any { it.vm == self.vm }) {
+                addAll(censusQuestions())
+            } else if (isProofOld) {
+                add(exchange(takers[(rank(self.vm) + failures).mod(takers.size)]))
+            }
         }
         proveByCensus()
     }
@@ -204,18 +214,16 @@
         }
         if (age >= settings.askAge && now >= nextAsk) {
             nextAsk = now + settings.retryEvery
-            val watchers = members.watchers(self.zone)
-            val watcher = watchers[(rank(self.vm) + failures).mod(watchers.size)]
-            add(exchange(watcher))
+            add(exchange(members.watcherOf(self, failures)))
         }
     }
 
-    /** All VMs of the own zone, and one watcher of each other zone. */
+    /** All VMs of the own zone, and one census taker of each other zone. */
     private fun censusQuestions(): List<SyncAction> {
         val own = members.inZone(self.zone).filter { it.vm != self.vm }
         val others = members.zones.filter { it != self.zone }.map { zone ->
-            val watchers = members.watchers(zone)
-            watchers[(rank(self.vm) + failures).mod(watchers.size)]
+            val takers = members.watchers(zone).take(CENSUS_TAKERS)
+            takers[(rank(self.vm) + failures).mod(takers.size)]
         }
         return (own + others).map { exchange(it) }
     }
@@ -233,11 +241,12 @@
         return SyncAction.Load(newestHead)
     }
 
+    /** A list grows with the fleet, so it is read less often in a large one; its bytes a second stay the same. */
+    private fun listInterval(): Duration = settings.listEvery * maxOf(1.0, members.all.size / MEMBERS_AT_FULL_RATE)
+
     private fun followers(): List<FleetMember> {
-        val watchers = members.watchers(self.zone)
-        val names = watchers.mapTo(HashSet()) { it.vm }
-        return members.inZone(self.zone)
-            .filter { it.vm !in names && watchers[rank(it.vm).mod(watchers.size)].vm == self.vm }
+        val watchers = members.watchers(self.zone).mapTo(HashSet()) { it.vm }
+        return members.inZone(self.zone).filter { it.vm !in watchers && members.watcherOf(it).vm == self.vm }
     }
 
     /** A write that an earlier process of this VM sent may still take effect for a while. */
@@ -249,5 +258,9 @@
 
     private companion object {
         const val INTRODUCTIONS_AT_ONCE = 8
+
+        /** Watchers of a zone that ask all its VMs in a store outage; the others ask them. */
+        const val CENSUS_TAKERS = 2
+        const val MEMBERS_AT_FULL_RATE = 20.0
     }
 }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/FleetMembers.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/FleetMembers.kt
@@ -95,6 +95,13 @@
         ranked.take(ceil(WATCHER_FACTOR * sqrt(ranked.size.toDouble())).toInt())
     }
 
+    /** The watcher that serves [follower]; each serves equally many. [attempt] chooses another one after failures. */
+    fun watcherOf(follower: FleetMember, attempt: Int = 0): FleetMember {
+        val watchers = watchers(follower.zone)
+        val position = members.headMap(follower.vm).values.count { it.member.zone == follower.zone }
+        return watchers[(position + attempt).mod(watchers.size)]
+    }
+
     /** Digest of the names of the members of [zone]. */
     fun digest(zone: String): Long = digestByZone.getOrPut(zone) {
         val names = inZone(zone).joinToString(",") { it.vm }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/SyncSettings.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/SyncSettings.kt
@@ -19,12 +19,12 @@
  */
 data class SyncSettings(
     val maxProofAge: Duration = 2.seconds,
-    val readEvery: Duration = maxProofAge / 4,
-    val askAge: Duration = maxProofAge * 0.55,
+    val readEvery: Duration = maxProofAge * 0.3,
+    val askAge: Duration = maxProofAge * 0.6,
     val censusAge: Duration = maxProofAge * 0.4,
     val fallbackAge: Duration = maxProofAge * 0.7,
     val retryEvery: Duration = maxProofAge / 8,
     val slowPollEvery: Duration = 30.seconds,
-    val listEvery: Duration = 5.seconds,
+    val listEvery: Duration = 10.seconds,
     val writeLateness: Duration = 10.seconds,
 )
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AddressService.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AddressService.kt
@@ -57,7 +57,7 @@
         return Ok(AddressAnswer(named.take(NAMED_VMS).map { it.identity.callerAddress }, validFor.inWholeSeconds))
     }
 
-    private fun rank(key: String?, program: String?, zone: String?): List<Lease> {
+    private fun rank(key: String?, program: String?, zone: String?): Sequence<Lease> {
         val account = key?.let { configuration.current.accountOf(digestOfKey(it)) }
         val keeper = if (account != null && program != null) keeperOf(account, program) else null
         val query = AddressQuery(account, program, keeper, zone, salt = Random.nextLong())
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationPublisher.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/control/ConfigurationPublisher.kt
@@ -109,7 +109,7 @@
         after: Configuration,
         names: List<String>,
     ): Result<Long, PublishError>? {
-        val encoded = encodeConfiguration(after, before.index, request.digest, shortened(names))
+        val encoded = encodeConfiguration(after, before.index, request.digest, names)
         for ((key, text) in encoded.written) {
             createOnce(key, text)?.let { return Err(PublishError.Unavailable(it.describe())) }
         }
@@ -143,11 +143,7 @@
         return if (isWhole) names else names + "changes up to generation ${later.firstOrNull()?.generation?.dec() ?: 0}"
     }
 
-    private fun shortened(names: List<String>): List<String> =
-        if (names.size <= MAX_NAMES) names else names.take(MAX_NAMES) + "${names.size - MAX_NAMES} more"
-
     private companion object {
         const val MAX_ATTEMPTS = 5
-        const val MAX_NAMES = 20
     }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -107,7 +107,7 @@
     val maxProofAge = configurationMaxProofAgeMs.milliseconds
     return SyncSettings(
         maxProofAge = maxProofAge,
-        readEvery = minOf(configurationPollMs.milliseconds, maxProofAge / READS_A_PROOF),
+        readEvery = minOf(configurationPollMs.milliseconds, SyncSettings(maxProofAge).readEvery),
         writeLateness = storeTimeoutMs.milliseconds * STORE_TIMEOUTS_OF_LATENESS,
     )
 }
@@ -132,8 +132,6 @@
     if (value !in range) add(SettingsError(key, "expected ${range.first} to ${range.last}, actual $value"))
 }
 
-private const val READS_A_PROOF = 4
-
 /** A request that the store accepted may take effect some timeouts after its sender gave up. */
 private const val STORE_TIMEOUTS_OF_LATENESS = 5
 private val NAME_PATTERN = Regex("[A-Za-z0-9.-]{1,63}")
