--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationSync.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/ConfigurationSync.kt
@@ -193,7 +193,7 @@
         }
         val isProofOld = holder.proofAge() >= settings.censusAge
         if ((isProofOld || now < censusUntil) && now >= nextAsk) {
-            val takers = members.watchers(self.zone).take(CENSUS_TAKERS)
+            val takers = members.censusTakers(self.zone)
             nextAsk = now + settings.retryEvery
             if (takers.any { it.vm == self.vm }) {
                 addAll(censusQuestions())
@@ -222,7 +222,7 @@
     private fun censusQuestions(): List<SyncAction> {
         val own = members.inZone(self.zone).filter { it.vm != self.vm }
         val others = members.zones.filter { it != self.zone }.map { zone ->
-            val takers = members.watchers(zone).take(CENSUS_TAKERS)
+            val takers = members.censusTakers(zone)
             takers[(rank(self.vm) + failures).mod(takers.size)]
         }
         return (own + others).map { exchange(it) }
@@ -241,8 +241,14 @@
         return SyncAction.Load(newestHead)
     }
 
-    /** A list grows with the fleet, so it is read less often in a large one; its bytes a second stay the same. */
-    private fun listInterval(): Duration = settings.listEvery * maxOf(1.0, members.all.size / MEMBERS_AT_FULL_RATE)
+    /**
+     * A list grows with the fleet, so it is read less often in a large one and its bytes a second stay the same. VMs that
+     * take no census need it only to find watchers.
+     */
+    private fun listInterval(): Duration {
+        val isTaker = members.censusTakers(self.zone).any { it.vm == self.vm }
+        return settings.listEvery * maxOf(1.0, members.all.size / MEMBERS_AT_FULL_RATE) * (if (isTaker) 1 else OTHERS_INTERVALS)
+    }
 
     private fun followers(): List<FleetMember> {
         val watchers = members.watchers(self.zone).mapTo(HashSet()) { it.vm }
@@ -258,9 +264,7 @@
 
     private companion object {
         const val INTRODUCTIONS_AT_ONCE = 8
-
-        /** Watchers of a zone that ask all its VMs in a store outage; the others ask them. */
-        const val CENSUS_TAKERS = 2
         const val MEMBERS_AT_FULL_RATE = 20.0
+        const val OTHERS_INTERVALS = 8
     }
 }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/FleetMembers.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/config/FleetMembers.kt
@@ -87,7 +87,7 @@
     }
 
     /**
-     * The members of [zone] that watch the store: about 1.5 times the square root of the zone's size, so that watches grow
+     * The members of [zone] that watch the store: about 2.5 times the square root of the zone's size, so that watches grow
      * more slowly than the fleet and each watcher still serves few others.
      */
     fun watchers(zone: String): List<FleetMember> = watchersByZone.getOrPut(zone) {
@@ -95,11 +95,19 @@
         ranked.take(ceil(WATCHER_FACTOR * sqrt(ranked.size.toDouble())).toInt())
     }
 
-    /** The watcher that serves [follower]; each serves equally many. [attempt] chooses another one after failures. */
+    /** The watchers of [zone] that ask all its VMs in a store outage; the other VMs of the zone ask them. */
+    fun censusTakers(zone: String): List<FleetMember> = watchers(zone).take(CENSUS_TAKERS)
+
+    /**
+     * The watcher that serves [follower]; each serves equally many. Census takers serve none where there are others, since
+     * they read the list of leases more often. [attempt] chooses another one after failures.
+     */
     fun watcherOf(follower: FleetMember, attempt: Int = 0): FleetMember {
         val watchers = watchers(follower.zone)
-        val position = members.headMap(follower.vm).values.count { it.member.zone == follower.zone }
-        return watchers[(position + attempt).mod(watchers.size)]
+        val serving = watchers.drop(CENSUS_TAKERS).ifEmpty { watchers }
+        val names = watchers.mapTo(HashSet()) { it.vm }
+        val position = members.headMap(follower.vm).values.count { it.member.zone == follower.zone && it.member.vm !in names }
+        return serving[(position + attempt).mod(serving.size)]
     }
 
     /** Digest of the names of the members of [zone]. */
@@ -116,6 +124,7 @@
     private class Entry(val member: FleetMember, val addedAt: Duration, var missingSince: Duration? = null)
 
     private companion object {
-        const val WATCHER_FACTOR = 1.5
+        const val WATCHER_FACTOR = 2.5
+        const val CENSUS_TAKERS = 2
     }
 }
