--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.bench
 
+import io.jasmineford.bench.config.configurationScenarios
 import io.jasmineford.bench.endpoint.fairScenario
 import io.jasmineford.bench.endpoint.memoryScenario
 import io.jasmineford.bench.endpoint.placementScenarios
@@ -14,4 +15,4 @@
     fleetScenario(league),
     fleetScenario(shop),
     faultMatrix,
-) + placementScenarios + memoryScenario + fairScenario + programScenarios
+) + placementScenarios + memoryScenario + fairScenario + programScenarios + configurationScenarios
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/settings/EntrySettings.kt
@@ -121,7 +121,7 @@
     val maxProofAge = configurationMaxProofAgeMs.milliseconds
     return SyncSettings(
         maxProofAge = maxProofAge,
-        readEvery = minOf(configurationPollMs.milliseconds, maxProofAge / READS_A_PROOF),
+        readEvery = minOf(configurationPollMs.milliseconds, SyncSettings(maxProofAge).readEvery),
         writeLateness = storeTimeoutMs.milliseconds * STORE_TIMEOUTS_OF_LATENESS,
     )
 }
@@ -161,8 +161,6 @@
 /** A target of 100 % would leave no budget, so that no burn rate is defined. */
 private val PERCENT = 50.0..99.999
 
-private const val READS_A_PROOF = 4
-
 /** A request that the store accepted may take effect some timeouts after its sender gave up. */
 private const val STORE_TIMEOUTS_OF_LATENESS = 5
 private val NAME_PATTERN = Regex("[A-Za-z0-9.-]{1,63}")
