Measure failing endpoints: half-dead fleet, zone out and return, zone lost, crashing request

Change: a simulation with faults drives scheduler, adaptive windows and endpoint guard together; the baseline retries three times at once. Placement no longer uses the slots of an endpoint that left and returned: they compared equal to the new ones and corrupted the order by load. KV caches of paused programs are moved away from a leaving zone.

--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/endpoint/FaultVariant.kt
@@ -0,0 +1,158 @@
+package io.jasmineford.bench.endpoint
+
+import io.jasmineford.core.config.Endpoint
+import io.jasmineford.core.endpoint.AnswerSample
+import io.jasmineford.core.endpoint.EndpointGuard
+import io.jasmineford.core.endpoint.EndpointWindow
+import io.jasmineford.core.endpoint.FailedCall
+import io.jasmineford.core.endpoint.FailureKind
+import io.jasmineford.core.endpoint.FailureVerdict
+import io.jasmineford.core.endpoint.GuardVerdict
+import io.jasmineford.core.endpoint.WindowSettings
+import io.jasmineford.core.program.Usage
+import io.jasmineford.core.schedule.CacheDecision
+import io.jasmineford.core.schedule.CallScheduler
+import io.jasmineford.core.schedule.QueuedCall
+import io.jasmineford.core.schedule.ScheduleDecision
+import io.jasmineford.core.time.MonotonicClock
+import kotlin.random.Random
+import kotlin.time.Duration
+
+/** A scheduler under test whose endpoints fail. */
+interface FaultVariant {
+    /** Decisions after [call] with the request [digest] was submitted; an [ScheduleDecision.Expire] refuses it. */
+    fun submit(call: QueuedCall, digest: String): List<ScheduleDecision>
+
+    /** Decisions after call [id] was answered. */
+    fun succeeded(id: Long, usage: Usage, sample: AnswerSample): List<ScheduleDecision>
+
+    /** Decisions after call [id] failed at its endpoint. */
+    fun failed(id: Long, kind: FailureKind, call: FailedCall): Pair<FailureVerdict, List<ScheduleDecision>>
+
+    /** Decisions that time brings. */
+    fun tick(): List<ScheduleDecision> = emptyList()
+
+    /** Takes the endpoints in service; [leaving] ones end soon, [returned] ones are back. */
+    fun inService(endpoints: List<Endpoint>, leaving: List<Endpoint>, returned: List<Endpoint>): List<CacheDecision> =
+        emptyList()
+}
+
+/** The product: scheduler, adaptive windows and endpoint guard of one VM. */
+class GuardedVariant(
+    private val clock: MonotonicClock,
+    random: Random,
+    private val endpoints: List<Endpoint>,
+) : FaultVariant {
+    private val guard = EndpointGuard(clock, random)
+    private val windows = endpoints.associate { it.address to EndpointWindow(WindowSettings(), it.window, startsCold = false) }
+    private val scheduler = CallScheduler(clock, windowOf = ::windowOf)
+    private val running = HashMap<Long, Endpoint>()
+    private val digests = HashMap<Long, String>()
+    private var inService = endpoints
+    private val pending = mutableListOf<ScheduleDecision>()
+
+    init {
+        scheduler.endpointsChanged(mapOf(DEPLOYMENT to endpoints))
+    }
+
+    override fun submit(call: QueuedCall, digest: String): List<ScheduleDecision> {
+        guard.submitted()
+        val verdict = guard.verdict(digest, inService) as? GuardVerdict.Run
+            ?: return listOf(ScheduleDecision.Expire(call.id))
+        digests[call.id] = digest
+        return started(scheduler.submit(call.copy(excluded = verdict.excluded)))
+    }
+
+    override fun succeeded(id: Long, usage: Usage, sample: AnswerSample): List<ScheduleDecision> {
+        val endpoint = running.remove(id) ?: return emptyList()
+        guard.succeeded(id)
+        windows.getValue(endpoint.address).answered(sample)
+        return started(scheduler.finished(id, usage) + scheduler.windowChanged(endpoint.address))
+    }
+
+    override fun failed(id: Long, kind: FailureKind, call: FailedCall): Pair<FailureVerdict, List<ScheduleDecision>> {
+        val endpoint = running.remove(id) ?: return FailureVerdict.GiveUp to emptyList()
+        val verdict = guard.failed(id, kind, call)
+        if (call.isCrash) {
+            windows.getValue(endpoint.address).turnCold()
+            scheduler.caches.lost(endpoint)
+        }
+        return verdict to started(scheduler.windowChanged(endpoint.address) + scheduler.finished(id))
+    }
+
+    override fun tick(): List<ScheduleDecision> {
+        val changed = pending.toList()
+        pending.clear()
+        return changed + started(scheduler.tick() + scheduler.windowsChanged())
+    }
+
+    override fun inService(
+        endpoints: List<Endpoint>,
+        leaving: List<Endpoint>,
+        returned: List<Endpoint>,
+    ): List<CacheDecision> {
+        inService = endpoints
+        returned.forEach {
+            windows.getValue(it.address).turnCold()
+            scheduler.caches.lost(it)
+        }
+        val moves = scheduler.caches.evacuate(leaving)
+        pending += started(scheduler.endpointsChanged(mapOf(DEPLOYMENT to endpoints)))
+        return moves
+    }
+
+    /** Takes the end of an export. */
+    fun moved(move: CacheDecision.Export, tokens: Long) = scheduler.caches.moved(move.program, move.to, tokens)
+
+    private fun windowOf(endpoint: Endpoint) =
+        minOf(windows.getValue(endpoint.address).size, guard.limit(endpoint))
+
+    private fun started(decisions: List<ScheduleDecision>): List<ScheduleDecision> {
+        for (decision in decisions.filterIsInstance<ScheduleDecision.Dispatch>()) {
+            running[decision.call] = decision.endpoint
+            guard.started(decision.call, digests.getValue(decision.call), decision.endpoint)
+        }
+        return decisions
+    }
+}
+
+/** Least loaded endpoint in service, with up to three immediate retries and no memory of failures. */
+class NaiveRetryVariant(private val clock: MonotonicClock, private var endpoints: List<Endpoint>) : FaultVariant {
+    private val inFlight = HashMap<String, Int>()
+    private val running = HashMap<Long, Endpoint>()
+
+    override fun submit(call: QueuedCall, digest: String): List<ScheduleDecision> {
+        val endpoint = endpoints.minBy { inFlight[it.name] ?: 0 }
+        inFlight.merge(endpoint.name, 1, Int::plus)
+        running[call.id] = endpoint
+        return listOf(ScheduleDecision.Dispatch(call.id, endpoint))
+    }
+
+    override fun succeeded(id: Long, usage: Usage, sample: AnswerSample): List<ScheduleDecision> {
+        ended(id)
+        return emptyList()
+    }
+
+    override fun failed(id: Long, kind: FailureKind, call: FailedCall): Pair<FailureVerdict, List<ScheduleDecision>> {
+        ended(id)
+        val isLast = call.attempts > NAIVE_RETRIES || clock.now() >= call.deadline
+        return (if (isLast) FailureVerdict.GiveUp else FailureVerdict.Retry(Duration.ZERO)) to emptyList()
+    }
+
+    override fun inService(
+        endpoints: List<Endpoint>,
+        leaving: List<Endpoint>,
+        returned: List<Endpoint>,
+    ): List<CacheDecision> {
+        this.endpoints = endpoints
+        return emptyList()
+    }
+
+    private fun ended(id: Long) {
+        running.remove(id)?.let { inFlight.merge(it.name, -1, Int::plus) }
+    }
+
+    private companion object {
+        const val NAIVE_RETRIES = 3
+    }
+}
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/endpoint/EndpointWindow.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/endpoint/EndpointWindow.kt
@@ -9,10 +9,10 @@
  *
  * @param max slots that the configuration allows.
  */
-class EndpointWindow(private val settings: WindowSettings, var max: Int) {
+class EndpointWindow(private val settings: WindowSettings, var max: Int, startsCold: Boolean = true) {
     private val usualFirstToken = HashMap<Int, UsualTime>()
     private val usualInterval = UsualTime()
-    private var exact = settings.coldWindow.toDouble()
+    private var exact = if (startsCold) settings.coldWindow.toDouble() else max.toDouble()
     private var signs = 0
 
     /** Requests that may be in flight. */
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/CallScheduler.kt
@@ -51,6 +51,13 @@
         return queues.keys.flatMap { decide(it) }
     }
 
+    /** Reads the window of the endpoint at [address] again after it changed. */
+    fun windowChanged(address: String): List<ScheduleDecision> {
+        val slots = pools[address] ?: return emptyList()
+        pools.refreshWindow(slots)
+        return if (slots.isFree) queues.keys.flatMap { decide(it) } else emptyList()
+    }
+
     /** Adds [call] to the queue. */
     fun submit(call: QueuedCall): List<ScheduleDecision> {
         call.program?.let { caches.pauses.called(it, clock.now()) }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/EndpointSlots.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/EndpointSlots.kt
@@ -73,11 +73,12 @@
     }
 
     /** Reads all windows again. */
-    fun refreshWindows() {
-        for (slots in usable()) {
-            val window = windowOf(slots.endpoint)
-            if (window != slots.window) update(slots) { this.window = window }
-        }
+    fun refreshWindows() = usable().forEach { refreshWindow(it) }
+
+    /** Reads the window of [slots] again. */
+    fun refreshWindow(slots: EndpointSlots) {
+        val window = if (slots.isUsable) windowOf(slots.endpoint) else 0
+        if (window != slots.window) update(slots) { this.window = window }
     }
 
     private companion object {
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/Placement.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/Placement.kt
@@ -27,7 +27,8 @@
 
     fun place(call: QueuedCall, now: Duration): Place {
         val pool = pools.of(call.deployment)
-        val home = call.program?.let { homes[it] }?.takeIf { it in pool && isAllowed(it, call) }
+        // Endpoints that left and returned have new slots; those of before must not be used again.
+        val home = call.program?.let { homes[it] }?.takeIf { pools[it.endpoint.address] === it && it in pool && isAllowed(it, call) }
         var best: EndpointSlots? = null
         var bestCost = Double.MAX_VALUE
         for (slots in pool.asSequence().filter { it.isFree && isAllowed(it, call) }.take(settings.candidateLimit)) {
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/ProgramCaches.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/schedule/ProgramCaches.kt
@@ -58,6 +58,22 @@
         }
     }
 
+    /** Moves the caches of paused programs away from [leaving], which ends soon, to the endpoints with the most room. */
+    fun evacuate(leaving: List<Endpoint>): List<CacheDecision> {
+        val now = clock.now()
+        val addresses = leaving.map { it.address }.toSet()
+        val staying = pools.usable().filter { it.endpoint.address !in addresses }
+        if (staying.isEmpty()) return emptyList()
+        val leavingSlots = addresses.mapNotNull { pools[it] }
+        return pauses.programs.mapIndexedNotNull { index, program ->
+            val home = placement.homeOf(program)?.takeIf { it in leavingSlots && it.belief.holds(program) }
+            val rest = home?.let { restOfPause(program, now) }
+            if (home == null || rest == null || rest.isInfinite()) return@mapIndexedNotNull null
+            home.belief.remove(program)
+            CacheDecision.Export(program, home.endpoint, staying[index % staying.size].endpoint)
+        }
+    }
+
     internal fun ended(program: ProgramId): List<CacheDecision> {
         pauses.remove(program)
         placement.remove(program)
