--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -124,9 +124,10 @@
         return identity
     }
 
-    /** Whether this VM can serve: its lease is valid and its configuration is proved current. */
+    /** Whether this VM can serve: it sees its own valid lease and its configuration is proved current. */
     suspend fun isReady(): Boolean = withContext(control) {
-        ::membership.isInitialized && membership.isLeaseValid() && holder.isProvedCurrent() && !isLeaving
+        val isMember = ::membership.isInitialized && membership.isLeaseValid() && settings.vm in membership.leases()
+        isMember && holder.isProvedCurrent() && !isLeaving
     }
 
     /** Generation of the configuration in force here. */
@@ -151,6 +152,8 @@
         val grace = settings.stopGraceMs.milliseconds - (clock.now() - startedAt)
         if (grace.isPositive()) delay(grace)
         log.event("daemon_stopped", "vm" to settings.vm, "drained" to (isDrained == true), "requests" to requests.count)
+        // An answer ends before its last bytes have left the server.
+        callerServer.stop(gracePeriodMillis = LAST_BYTES_GRACE_MS, timeoutMillis = LAST_BYTES_GRACE_MS + CLOSE_TIMEOUT_MS)
         close()
     }
 
@@ -296,5 +299,6 @@
         val log = KotlinLogging.logger {}
         val STOP_POLL = 50.milliseconds
         const val CLOSE_TIMEOUT_MS = 500L
+        const val LAST_BYTES_GRACE_MS = 1_000L
     }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
@@ -78,7 +78,8 @@
         admit(request).fold(
             success = { caller ->
                 account = caller.account
-                handle(request.toCall(caller))
+                val accepted = request.toCall(caller)
+                handle(accepted).endedOnFault(accepted)
             },
             failure = { it.toEvents().asFlow() },
         )
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/CrashTest.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/CrashTest.kt
@@ -60,7 +60,9 @@
             header("Jasmineford-Program", program)
         }.bodyAsText()
         val best = answer.substringAfter("[\"").substringBefore('"')
-        return identities.indexOfFirst { it.callerAddress == best }
+        val keeper = identities.indexOfFirst { it.callerAddress == best }
+        check(keeper >= 0) { "expected the address of a VM first, actual $answer" }
+        return keeper
     }
 
     private suspend fun LoopbackFleet.charge(vm: Int, key: String): HttpResponse =
