Wire retries, circuit breaking and quarantine into the daemon

Cause: a call whose endpoint failed ended there, and a crashing request went to every endpoint. A model call is tried again only while nothing of its answer went out, a service call only when it is idempotent or did not run. Edits outside: ModelCalls, ServiceCalls, EngineClient (rejected answers are no crashes), PeerServer and EntryDaemon, a few lines each. Conclusion: windows are still those of each VM alone; WindowOwner and WindowBorrower are not wired to BorrowSlice yet.

--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -12,7 +12,6 @@
 import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.limit.StaticDivisionLimiter
 import io.jasmineford.core.objective.CallCounters
-import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
 import io.jasmineford.daemon.call.CallRouter
@@ -28,6 +27,7 @@
 import io.jasmineford.daemon.control.ConfigurationControl
 import io.jasmineford.daemon.control.MembershipDriver
 import io.jasmineford.daemon.control.ShardKeeper
+import io.jasmineford.daemon.endpoint.CrashReports
 import io.jasmineford.daemon.operator.DaemonStatus
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
@@ -44,6 +44,7 @@
 import io.jasmineford.daemon.settings.journal
 import io.jasmineford.daemon.settings.membership
 import io.jasmineford.daemon.settings.synchronisation
+import io.jasmineford.protocol.CrashReply
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.store.ObjectStore
 import io.ktor.client.HttpClient
@@ -86,7 +87,10 @@
     private val counters = CallCounters()
     private val metrics = DaemonMetrics()
     private val client = HttpClient(CIO) { install(HttpTimeout) }
-    private val queue = EndpointQueue(CallScheduler(clock), control)
+    private val crashes = CrashReports(scope) {
+        membership.leases().values.filter { it.identity.vm != settings.vm }.map { peers.stub(it.identity.peerAddress) }
+    }
+    private val queue = EndpointQueue(clock, control, reportCrash = crashes::send)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
@@ -256,6 +260,10 @@
             val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
             view.toMessage(FleetMember(settings.vm, settings.zone))
         },
+        crashed = { report ->
+            val isQuarantined = withContext(control) { queue.crashReported(report.endpoint, report.requestDigest) }
+            CrashReply.newBuilder().setQuarantined(isQuarantined).build()
+        },
     )
 
     private fun addresses(key: String?, program: String?, zone: String?): AddressAnswer {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EngineClient.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EngineClient.kt
@@ -37,8 +37,8 @@
     /** The answer is complete. */
     data object Done : EngineEvent
 
-    /** The engine failed; [isSent] tells whether the engine may have begun. */
-    data class Failed(val problem: String, val isSent: Boolean) : EngineEvent
+    /** The engine failed; [isSent] tells whether it may have begun, [isRejected] that it answered with an error. */
+    data class Failed(val problem: String, val isSent: Boolean, val isRejected: Boolean = false) : EngineEvent
 }
 
 /** One call of an engine. [requestId] is unique; the engine repeats it in each event of its answer. */
@@ -82,7 +82,7 @@
             resumes++
             delay(RESUME_PAUSE)
         }
-        emit(if (answer.isDone) EngineEvent.Done else EngineEvent.Failed(answer.problem, isSent = true))
+        emit(if (answer.isDone) EngineEvent.Done else EngineEvent.Failed(answer.problem, isSent = true, isRejected = answer.isBroken))
     }
 
     /** Programs whose keys and values the engine holds; null when it doesn't answer. */
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ModelCalls.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ModelCalls.kt
@@ -1,10 +1,11 @@
 package io.jasmineford.daemon.call
 
+import com.google.common.hash.Hashing
 import io.jasmineford.core.call.Outcome
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.config.ConfigurationHolder
-import io.jasmineford.core.config.Endpoint
+import io.jasmineford.core.endpoint.FailureKind
 import io.jasmineford.core.config.ProgramBudget
 import io.jasmineford.core.config.account
 import io.jasmineford.core.program.Message
@@ -16,6 +17,8 @@
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.control.Durability
 import io.jasmineford.daemon.control.ShardKeeper
+import io.jasmineford.daemon.endpoint.EndpointLease
+import io.jasmineford.daemon.endpoint.EndpointReply
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.flow.Flow
@@ -77,13 +80,14 @@
         val answer = AnswerWriter(this, isStream = turn.chat.stream, turn = turn.ticket?.turn)
         var isDispatched = false
         try {
-            queue.withEndpoint(queuedCall(turn)) { endpoint ->
-                if (endpoint == null) {
-                    emitRefusal(Refusal(Reason.DEADLINE_EXCEEDED, "no endpoint was free before the deadline"))
-                    return@withEndpoint
+            queue.withEndpoint(queuedCall(turn), requestDigest(turn.chat)) { reply ->
+                val lease = when (reply) {
+                    is EndpointReply.Refused -> return@withEndpoint emitRefusal(reply.refusal)
+                    is EndpointReply.Granted -> reply.lease
                 }
                 isDispatched = true
-                val failure = stream(turn, endpoint, answer)
+                val failure = stream(turn, lease, answer)
+                if (lease.retryAfter != null) return@withEndpoint
                 val refusal = failure ?: turn.ticket?.let { commit(turn, it, answer) }
                 if (refusal == null) answer.end() else answer.fail(refusal)
             }
@@ -107,10 +111,10 @@
         deadline = turn.call.deadline,
     )
 
-    private suspend fun stream(turn: Turn, endpoint: Endpoint, answer: AnswerWriter): Refusal? {
+    private suspend fun stream(turn: Turn, lease: EndpointLease, answer: AnswerWriter): Refusal? {
         var failure: Refusal? = null
         val request = EngineCall(
-            address = endpoint.address,
+            address = lease.endpoint.address,
             requestId = turn.call.requestId,
             chat = turn.chat.copy(user = turn.target.program?.toString()),
             deadline = turn.call.deadline,
@@ -119,8 +123,12 @@
             when (event) {
                 is EngineEvent.Text -> answer.text(event.content)
                 is EngineEvent.Tokens -> answer.usage = event.usage
-                is EngineEvent.Failed -> failure = failedRun(Reason.ENDPOINT_FAILED, event.problem)
-                EngineEvent.Done -> Unit
+                is EngineEvent.Failed -> {
+                    failure = failedRun(Reason.ENDPOINT_FAILED, event.problem)
+                    lease.report(event, isOpen = clock.now() < turn.call.deadline && answer.content.isEmpty())
+                }
+
+                EngineEvent.Done -> lease.answered(answer.usage.toUsage())
             }
         }
         return failure
@@ -128,7 +136,7 @@
 
     private suspend fun commit(turn: Turn, ticket: TurnTicket, answer: AnswerWriter): Refusal? {
         val messages = turn.newMessages + Message("assistant", answer.content)
-        val usage = Usage(answer.usage.promptTokens, answer.usage.completionTokens, answer.usage.cachedTokens)
+        val usage = answer.usage.toUsage()
         return withContext(NonCancellable + control) {
             if (keeper.journal.journal.isFenced) return@withContext Durability.FENCED.toRefusal()
             if (!keeper.book.isInFlight(ticket)) return@withContext Durability.FENCED.toRefusal()
@@ -174,3 +182,16 @@
         val RETRY_AFTER = 1.seconds
     }
 }
+
+private fun ChatUsage.toUsage() = Usage(promptTokens, completionTokens, cachedTokens)
+
+/** An answer with an error status is no crash. A call is tried again only while nothing of its answer went out. */
+private suspend fun EndpointLease.report(event: EngineEvent.Failed, isOpen: Boolean) {
+    if (event.isRejected) return
+    val kind = if (event.isSent) FailureKind.MAY_HAVE_RUN else FailureKind.NOT_RUN
+    failed(kind, isCrash = isOpen || kind == FailureKind.NOT_RUN, isIdempotent = isOpen)
+}
+
+/** Digest of what the engine computes, the same for every key and program that sends it. */
+private fun requestDigest(chat: ChatRequest): String =
+    Hashing.sha256().hashString(chatJson.encodeToString(chat.copy(user = null)), Charsets.UTF_8).toString()
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ServiceCalls.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ServiceCalls.kt
@@ -6,6 +6,7 @@
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.config.ConfigurationHolder
 import io.jasmineford.core.config.Endpoint
+import io.jasmineford.core.endpoint.FailureKind
 import io.jasmineford.core.config.ProgramBudget
 import io.jasmineford.core.config.account
 import io.jasmineford.core.program.Effect
@@ -17,6 +18,8 @@
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.control.Durability
 import io.jasmineford.daemon.control.ShardKeeper
+import io.jasmineford.daemon.endpoint.EndpointLease
+import io.jasmineford.daemon.endpoint.EndpointReply
 import io.jasmineford.daemon.warnEvent
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.NonCancellable
@@ -139,9 +142,15 @@
             submittedAt = clock.now(),
             deadline = call.deadline,
         )
-        return queue.withEndpoint(queued) { endpoint ->
-            if (endpoint != null) return@withEndpoint send(endpoint)
-            ServiceReply.Refused(Refusal(Reason.DEADLINE_EXCEEDED, "no endpoint was free before the deadline"))
+        return queue.withEndpoint(queued) { granted ->
+            when (granted) {
+                is EndpointReply.Refused -> ServiceReply.Refused(granted.refusal)
+
+                is EndpointReply.Granted -> send(granted.lease.endpoint).also {
+                    val isInTime = timeLeft(call).isPositive()
+                    if (it is ServiceReply.Answered) granted.lease.answered() else granted.lease.report(it, target.isIdempotent && isInTime)
+                }
+            }
         }
     }
 
@@ -196,3 +205,12 @@
         else -> ServiceReply.Answered(kept.status, kept.contentType, kept.body.encodeToByteArray())
     }
 }
+
+/** Without an answer, the service may have run the request, unless it is refused as not run. */
+private suspend fun EndpointLease.report(reply: ServiceReply, isIdempotent: Boolean) {
+    if (reply !is ServiceReply.Refused || reply.refusal.reason != Reason.ENDPOINT_FAILED) return
+    val isNotRun = reply.refusal.outcome == Outcome.REFUSED_NOT_RUN
+    val kind = if (isNotRun) FailureKind.NOT_RUN else FailureKind.MAY_HAVE_RUN
+    // A call that was made durable runs at most once, so it is not tried again here.
+    failed(kind, isCrash = true, isIdempotent = isIdempotent)
+}
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
@@ -4,6 +4,8 @@
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.call.Call
+import io.jasmineford.protocol.CrashReply
+import io.jasmineford.protocol.CrashReport
 import io.jasmineford.protocol.ForwardedCall
 import io.jasmineford.protocol.Generation
 import io.jasmineford.protocol.PeerGrpcKt
@@ -21,6 +23,7 @@
     val handle: (Call) -> Flow<Event>,
     val probe: suspend () -> ProbeReply,
     val announced: suspend (Generation) -> Generation,
+    val crashed: suspend (CrashReport) -> CrashReply,
 )
 
 /** gRPC service for other daemons. */
@@ -30,6 +33,8 @@
 
     override suspend fun announceGeneration(request: Generation): Generation = port.announced(request)
 
+    override suspend fun reportCrash(request: CrashReport): CrashReply = port.crashed(request)
+
     override suspend fun probe(request: ProbeRequest): ProbeReply = port.probe()
 }
 
