Count a later attempt at the same endpoint as another crash and retry elsewhere first

Cause: EndpointQueueTest saw three attempts of a fatal request: the second, at the endpoint that had just crashed, was taken for the same crash because it came within two seconds. Change: an attempt that began after the recorded crash is another one, and a retry goes to the endpoints that have not failed the call before.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/endpoint/CrashSuspects.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/endpoint/CrashSuspects.kt
@@ -56,15 +56,21 @@
         return SuspectVerdict.Quarantined
     }
 
-    /** Takes a crash of [endpoint] with the request [digest] in flight there; returns whether it is quarantined now. */
-    fun crashed(endpoint: String, digest: String, now: Duration): Boolean {
+    /**
+     * Takes a crash of [endpoint] with the request [digest] in flight there; returns whether it is quarantined now.
+     *
+     * @param startedAt when the attempt that failed began, if this VM made it: one that began after an earlier crash failed
+     *   in another.
+     */
+    fun crashed(endpoint: String, digest: String, now: Duration, startedAt: Duration? = null): Boolean {
         forget(now)
         val entry = entries[digest]
         if (entry == null) {
             entries[digest] = Entry(endpoint, now)
             return false
         }
-        val isSameCrash = entry.endpoint == endpoint && now - entry.at < settings.sameCrash
+        val isEarlier = startedAt == null || startedAt <= entry.at
+        val isSameCrash = entry.endpoint == endpoint && now - entry.at < settings.sameCrash && isEarlier
         if (!isSameCrash) quarantine(endpoint, digest, entry, now)
         return now < entry.quarantinedUntil
     }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/endpoint/EndpointGuard.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/endpoint/EndpointGuard.kt
@@ -55,7 +55,8 @@
 
     /** Takes the dispatch of call [id] with the request [digest]. */
     fun started(id: Long, digest: String, endpoint: Endpoint) {
-        attempts[id] = Attempt(digest, endpoint, isSuspect = suspects.verdict(digest, clock.now()) != SuspectVerdict.Clear)
+        val now = clock.now()
+        attempts[id] = Attempt(digest, endpoint, suspects.verdict(digest, now) != SuspectVerdict.Clear, now)
     }
 
     /** Takes a whole answer to call [id]. */
@@ -86,7 +87,7 @@
         healthOf(attempt.endpoint.address).failed(now)
         if (failure == FailureKind.MAY_HAVE_RUN && call.isCrash) {
             report(attempt.endpoint, attempt.digest)
-            if (suspects.crashed(attempt.endpoint.address, attempt.digest, now)) return FailureVerdict.GiveUp
+            if (suspects.crashed(attempt.endpoint.address, attempt.digest, now, attempt.startedAt)) return FailureVerdict.GiveUp
         }
         val wait = retries.retryAfter(call.attempts, failure, call.isIdempotent, call.deadline - now)
         return if (wait == null) FailureVerdict.GiveUp else FailureVerdict.Retry(wait)
@@ -102,7 +103,7 @@
 
     private fun healthOf(address: String) = byAddress.getOrPut(address) { EndpointHealth(health, random) }
 
-    private class Attempt(val digest: String, val endpoint: Endpoint, val isSuspect: Boolean)
+    private class Attempt(val digest: String, val endpoint: Endpoint, val isSuspect: Boolean, val startedAt: Duration)
 }
 
 /**
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EndpointQueue.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EndpointQueue.kt
@@ -50,6 +50,7 @@
         windowOf = { minOf(windows.sizeOf(it), guard.limit(it)) },
     )
     private val waiters = HashMap<Long, CompletableDeferred<EndpointReply>>()
+    private val pending = HashMap<Long, Pending>()
     private var usable: Map<ScopedName, List<Endpoint>> = emptyMap()
     private var nextId = 1L
 
@@ -86,27 +87,36 @@
      */
     suspend fun <T> withEndpoint(call: QueuedCall, digest: String = "", block: suspend (EndpointReply) -> T): T {
         var attempts = 0
+        var next = call
         while (true) {
             attempts++
-            val (result, wait) = attempt(call, digest, attempts, block)
-            if (wait == null) return result
+            val attempt = attempt(next, digest, attempts, block)
+            val lease = attempt.lease
+            val wait = lease?.retryAfter ?: return attempt.result
+            next = next.copy(excluded = excludedAfter(lease.endpoint, next))
             delay(wait)
         }
     }
 
+    /** Endpoints that failed this call are tried again only when every endpoint did. */
+    private suspend fun excludedAfter(failed: Endpoint, call: QueuedCall): Set<String> = withContext(control) {
+        val excluded = call.excluded + failed.name
+        if (usable[call.deployment].orEmpty().all { it.name in excluded }) emptySet() else excluded
+    }
+
     private suspend fun <T> attempt(
         call: QueuedCall,
         digest: String,
         attempts: Int,
         block: suspend (EndpointReply) -> T,
-    ): Pair<T, Duration?> {
+    ): Attempt<T> {
         val waiter = CompletableDeferred<EndpointReply>()
         val id = withContext(control) { submit(call, digest, attempts, waiter) }
         var reply: EndpointReply? = null
         try {
             reply = waiter.await()
             val result = block(reply)
-            return result to (reply as? EndpointReply.Granted)?.lease?.retryAfter
+            return Attempt(result, (reply as? EndpointReply.Granted)?.lease)
         } catch (e: CancellationException) {
             withContext(NonCancellable + control) { perform(scheduler.cancelled(id)) }
             throw e
@@ -158,8 +168,6 @@
         return (verdict as? FailureVerdict.Retry)?.wait
     }
 
-    private val pending = HashMap<Long, Pending>()
-
     private fun perform(decisions: List<ScheduleDecision>) {
         for (decision in decisions) {
             val reply = when (decision) {
@@ -181,6 +189,8 @@
 
     private fun refused(reason: Reason, detail: String) = EndpointReply.Refused(Refusal(reason, detail))
 
+    private class Attempt<T>(val result: T, val lease: EndpointLease?)
+
     private class Pending(val call: QueuedCall, val digest: String, val attempts: Int, val submittedAt: Duration)
 
     private companion object {
