--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EndpointQueue.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/EndpointQueue.kt
@@ -11,6 +11,8 @@
 import io.jasmineford.core.endpoint.FailureKind
 import io.jasmineford.core.endpoint.FailureVerdict
 import io.jasmineford.core.endpoint.GuardVerdict
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.objective.DecisionStep
 import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.schedule.QueuedCall
 import io.jasmineford.core.schedule.ScheduleDecision
@@ -34,11 +36,13 @@
  * Lets calls wait for the scheduler's decision, and tries them again where that is allowed. Scheduler, guard and windows
  * are used on the [control] thread only.
  *
+ * @param records decisions for `explain`.
  * @param reportCrash tells the other VMs of a request that was in flight when its endpoint crashed.
  */
 internal class EndpointQueue(
     private val clock: MonotonicClock,
     private val control: CoroutineDispatcher,
+    private val records: DecisionLog,
     private val reportCrash: (deployment: String, endpoint: String, digest: String) -> Unit,
 ) {
     private val guard = EndpointGuard(clock, Random.Default)
@@ -174,10 +178,25 @@
                 is ScheduleDecision.Dispatch -> granted(decision)
                 is ScheduleDecision.Expire -> refused(Reason.DEADLINE_EXCEEDED, "no endpoint was free before the deadline")
             }
+            recordDecision(decision)
             waiters[decision.call]?.complete(reply)
         }
     }
 
+    private fun recordDecision(decision: ScheduleDecision) {
+        val call = pending[decision.call]?.call ?: return
+        val waited = (clock.now() - call.submittedAt).inWholeMilliseconds
+        val (step, detail) = when (decision) {
+            is ScheduleDecision.Dispatch -> DecisionStep.PLACED to
+                "endpoint ${decision.endpoint.name} in ${decision.endpoint.zone}, " +
+                "${decision.expectedCached} of ${call.promptTokens} prompt tokens expected in its cache, " +
+                "${scheduler.waitingFor(call.deployment)} calls left in the queue of ${call.deployment}"
+
+            is ScheduleDecision.Expire -> DecisionStep.EXPIRED to "no endpoint of ${call.deployment} was free before the deadline"
+        }
+        records.record(call.program, step, detail, waited)
+    }
+
     private fun granted(decision: ScheduleDecision.Dispatch): EndpointReply {
         val id = decision.call
         guard.started(id, pending[id]?.digest.orEmpty(), decision.endpoint)
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/CallerServer.kt
@@ -9,6 +9,9 @@
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.objective.CallLabels
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.objective.DecisionStep
+import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.call.Call
 import io.jasmineford.daemon.call.CallEvent
@@ -47,8 +50,9 @@
     val clock: MonotonicClock,
     val defaultDeadline: Duration,
     val gate: AdmissionGate,
+    val decisions: DecisionLog,
     val handle: (Call) -> Flow<CallEvent>,
-    val addresses: suspend (key: String?, program: String?, zone: String?) -> AddressAnswer,
+    val addresses: suspend (key: String?, program: String?, zone: String?) -> Result<AddressAnswer, Refusal>,
     val isOut: suspend () -> Boolean,
     val onAnswered: suspend (CallLabels) -> Unit,
 )
@@ -59,8 +63,10 @@
         get("/v1/addresses") {
             val key = call.separateCredentials().keys.singleOrNull()
             val program = call.request.header(CallHeaders.PROGRAM)
-            val answer = port.addresses(key, program, call.request.queryParameters["zone"])
-            call.respondText(Json.encodeToString(answer), ContentType.Application.Json)
+            port.addresses(key, program, call.request.queryParameters["zone"]).fold(
+                success = { call.respondText(Json.encodeToString(it), ContentType.Application.Json) },
+                failure = { call.respondEvents(it.toEvents().asFlow(), port.vm) },
+            )
         }
         post("/v1/chat/completions") { port.serve(call, serviceRoute = null) }
         route("/services/{route}/{path...}") {
@@ -85,6 +91,8 @@
         )
     }
     val end = call.respondEvents(events, vm)
+    val program = account?.let { known -> request.program?.let { ProgramId(known, it) } }
+    decisions.record(program, DecisionStep.ANSWERED, listOfNotNull(end.outcome.label, end.reason?.label).joinToString(": "))
     // A caller chooses the name of a route freely, so only names that a known account used become a label.
     val route = if (account == null) "none" else serviceRoute ?: "chat"
     onAnswered(CallLabels(account, route, zone, end.outcome, end.reason))
@@ -92,12 +100,12 @@
 
 private suspend fun CallerPort.admit(request: CallerRequest): Result<Caller, Refusal> {
     val fault = request.credentialFault()
-    return if (fault != null) Err(fault) else gate.admit(request.keys.firstOrNull(), request.openRoute, request.deadline)
+    return if (fault != null) Err(fault) else gate.admit(request.keys.firstOrNull(), request.openRoute, request.deadline, request.program)
 }
 
 private suspend fun CallerPort.redirection(key: String?, program: String?): Flow<CallEvent> {
     val refusal = Refusal(Reason.VM_LEAVING, "VM $vm takes no new work")
-    val problem = refusal.toProblem().copy(addresses = addresses(key, program, zone).addresses)
+    val problem = refusal.toProblem().copy(addresses = addresses(key, program, zone).fold({ it.addresses }, { emptyList() }))
     return refusal.toEvents(problem).asFlow()
 }
 
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
@@ -11,9 +11,14 @@
 import io.jasmineford.protocol.PeerGrpcKt
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.protocol.ProbeRequest
+import io.jasmineford.protocol.PromiseReply
+import io.jasmineford.protocol.PromiseRequest
+import io.jasmineford.protocol.RenewReply
+import io.jasmineford.protocol.RenewRequest
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.map
 import java.net.InetSocketAddress
+import io.jasmineford.core.lease.PromiseRequest as Promise
 import io.jasmineford.daemon.call.CallEvent as Event
 import io.jasmineford.protocol.CallEvent as EventMessage
 
@@ -24,6 +29,13 @@
     val probe: suspend () -> ProbeReply,
     val announced: suspend (Generation) -> Generation,
     val crashed: suspend (CrashReport) -> CrashReply,
+    val ownership: OwnershipPort,
+)
+
+/** What the peer port needs for leases. */
+internal class OwnershipPort(
+    val promise: suspend (Promise) -> Boolean,
+    val renew: suspend (RenewRequest) -> RenewReply,
 )
 
 /** gRPC service for other daemons. */
@@ -36,6 +48,11 @@
     override suspend fun reportCrash(request: CrashReport): CrashReply = port.crashed(request)
 
     override suspend fun probe(request: ProbeRequest): ProbeReply = port.probe()
+
+    override suspend fun promiseNoRevoke(request: PromiseRequest): PromiseReply =
+        PromiseReply.newBuilder().setPromised(port.ownership.promise(request.toRequest())).build()
+
+    override suspend fun renewLeaseFor(request: RenewRequest): RenewReply = port.ownership.renew(request)
 }
 
 /** Server of [service] on [host] and [port]; port 0 lets the system choose. */
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/call/EndpointQueueTest.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/call/EndpointQueueTest.kt
@@ -9,6 +9,7 @@
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.config.ServiceState
 import io.jasmineford.core.endpoint.FailureKind
+import io.jasmineford.core.objective.DecisionLog
 import io.jasmineford.core.schedule.QueuedCall
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.endpoint.EndpointReply
@@ -30,7 +31,9 @@
 
     private fun TestScope.queue(zonesOut: Set<String> = emptySet()): EndpointQueue {
         val clock = MonotonicClock { currentTime.milliseconds }
-        val queue = EndpointQueue(clock, StandardTestDispatcher(testScheduler)) { _, endpoint, _ -> reports += endpoint }
+        val queue = EndpointQueue(clock, StandardTestDispatcher(testScheduler), DecisionLog("vm", { 0 })) { _, endpoint, _ ->
+            reports += endpoint
+        }
         queue.start(backgroundScope)
         queue.configurationChanged(configuration(zonesOut))
         return queue
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -64,7 +64,14 @@
         val url = "http://127.0.0.1:${platform.start()}"
         for (zone in ZONES) {
             val store = HttpObjectStore(url).also { stores += it }
-            val settings = EntrySettings(vm = "$zone-1", zone = zone, platformUrl = url, configurationPollMs = 100, stopGraceMs = 500)
+            val settings = EntrySettings(
+                vm = "$zone-1",
+                zone = zone,
+                platformUrl = url,
+                configurationPollMs = 100,
+                stopGraceMs = 500,
+                engineCompareMs = 100,
+            )
             val daemon = EntryDaemon(settings, store).also { daemons += it }
             identities += daemon.start()
         }
@@ -86,12 +93,15 @@
         load.substringAfter("\"running\":").substringBefore(',').toInt()
     }
 
-    suspend fun setStoreDown(isDown: Boolean) = platform.withStore { this.isDown = isDown }
-
     suspend fun awaitGeneration(generation: Long) = awaitUntil("all daemons in generation $generation") {
         daemons.all { it.isReady() && it.generation() == generation }
     }
 
+    /** Like [awaitGeneration], for a configuration that takes a VM out. */
+    suspend fun awaitConfiguration(generation: Long) = awaitUntil("generation $generation on all daemons") {
+        daemons.all { it.generation() == generation }
+    }
+
     suspend fun call(vm: Int, path: String, build: HttpRequestBuilder.() -> Unit = {}): HttpResponse =
         http.post("http://${identities[vm].callerAddress}$path", build)
 
