--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.bench.config.configurationScenarios
 import io.jasmineford.bench.endpoint.fairScenario
+import io.jasmineford.bench.endpoint.faultScenarios
 import io.jasmineford.bench.endpoint.memoryScenario
 import io.jasmineford.bench.endpoint.placementScenarios
 import io.jasmineford.bench.fleet.fleetScenario
@@ -15,4 +16,4 @@
     fleetScenario(league),
     fleetScenario(shop),
     faultMatrix,
-) + placementScenarios + memoryScenario + fairScenario + programScenarios + configurationScenarios
+) + placementScenarios + memoryScenario + fairScenario + faultScenarios + programScenarios + configurationScenarios
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -11,7 +11,6 @@
 import io.jasmineford.core.objective.CallCounters
 import io.jasmineford.core.objective.DecisionLog
 import io.jasmineford.core.program.ProgramId
-import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
 import io.jasmineford.daemon.call.CallRouter
@@ -29,6 +28,7 @@
 import io.jasmineford.daemon.control.ConfigurationControl
 import io.jasmineford.daemon.control.MembershipDriver
 import io.jasmineford.daemon.control.ShardKeeper
+import io.jasmineford.daemon.endpoint.CrashReports
 import io.jasmineford.daemon.operator.DaemonStatus
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
@@ -49,6 +49,7 @@
 import io.jasmineford.daemon.settings.membership
 import io.jasmineford.daemon.settings.objectives
 import io.jasmineford.daemon.settings.synchronisation
+import io.jasmineford.protocol.CrashReply
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.store.ObjectStore
 import io.ktor.client.HttpClient
@@ -92,7 +93,10 @@
     private val decisions = DecisionLog(settings.vm, wallClock = System::currentTimeMillis)
     private val metrics = DaemonMetrics()
     private val client = HttpClient(CIO) { install(HttpTimeout) }
-    private val queue = EndpointQueue(CallScheduler(clock), control, clock, decisions)
+    private val crashes = CrashReports(scope) {
+        membership.leases().values.filter { it.identity.vm != settings.vm }.map { peers.stub(it.identity.peerAddress) }
+    }
+    private val queue = EndpointQueue(clock, control, decisions, reportCrash = crashes::send)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
@@ -280,6 +284,10 @@
             val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
             view.toMessage(FleetMember(settings.vm, settings.zone))
         },
+        crashed = { report ->
+            val isQuarantined = withContext(control) { queue.crashReported(report.endpoint, report.requestDigest) }
+            CrashReply.newBuilder().setQuarantined(isQuarantined).build()
+        },
     )
 
     private fun addressService() = AddressService(
