--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -7,15 +7,17 @@
 import io.jasmineford.core.config.isOut
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
-import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.limit.StaticDivisionLimiter
 import io.jasmineford.core.objective.CallCounters
+import io.jasmineford.core.objective.DecisionLog
+import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
 import io.jasmineford.daemon.call.CallRouter
 import io.jasmineford.daemon.call.EndpointQueue
 import io.jasmineford.daemon.call.EngineClient
+import io.jasmineford.daemon.call.EngineMemory
 import io.jasmineford.daemon.call.ModelCalls
 import io.jasmineford.daemon.call.ServiceCalls
 import io.jasmineford.daemon.call.ServiceClient
@@ -31,17 +33,21 @@
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
 import io.jasmineford.daemon.operator.operatorModule
+import io.jasmineford.daemon.peer.GrpcMembershipPeers
+import io.jasmineford.daemon.peer.OwnershipPort
 import io.jasmineford.daemon.peer.PeerClients
 import io.jasmineford.daemon.peer.PeerPort
 import io.jasmineford.daemon.peer.PeerService
 import io.jasmineford.daemon.peer.exchange
 import io.jasmineford.daemon.peer.peerServer
+import io.jasmineford.daemon.peer.renewFor
 import io.jasmineford.daemon.peer.toMember
 import io.jasmineford.daemon.peer.toMessage
 import io.jasmineford.daemon.peer.toView
 import io.jasmineford.daemon.settings.EntrySettings
 import io.jasmineford.daemon.settings.journal
 import io.jasmineford.daemon.settings.membership
+import io.jasmineford.daemon.settings.objectives
 import io.jasmineford.daemon.settings.synchronisation
 import io.jasmineford.protocol.ProbeReply
 import io.jasmineford.store.ObjectStore
@@ -82,10 +88,11 @@
     private val scope = CoroutineScope(SupervisorJob() + control)
     private val nonces: () -> String = { UUID.randomUUID().toString() }
     private val holder = ConfigurationHolder(clock, settings.configurationMaxProofAgeMs.milliseconds)
-    private val counters = CallCounters()
+    private val counters = CallCounters(clock)
+    private val decisions = DecisionLog(settings.vm, wallClock = System::currentTimeMillis)
     private val metrics = DaemonMetrics()
     private val client = HttpClient(CIO) { install(HttpTimeout) }
-    private val queue = EndpointQueue(CallScheduler(clock), control)
+    private val queue = EndpointQueue(CallScheduler(clock), control, clock, decisions)
     private val peers = PeerClients(settings.vm, clock) { holder.current.generation }
     private val guard = KeyGuard(control, holder)
     private val configuration = CompletableDeferred<ConfigurationControl>()
@@ -172,7 +179,8 @@
 
     private fun startControl(identity: VmIdentity) {
         membership = Membership(identity, settings.membership(), clock, nonces, incarnationSource)
-        val driver = MembershipDriver(scope, store, membership)
+        val membershipPeers = GrpcMembershipPeers(peers, settings.storeTimeoutMs.milliseconds)
+        val driver = MembershipDriver(scope, store, membership, membershipPeers)
         keeper = ShardKeeper(
             vm = settings.vm,
             scope = scope,
@@ -184,6 +192,7 @@
             shards = settings.shards,
             nonces = nonces,
         )
+        val engines = EngineClient(client, clock)
         router = CallRouter(
             self = settings.vm,
             control = control,
@@ -191,14 +200,22 @@
             configuration = holder,
             membership = membership,
             keeper = keeper,
-            models = ModelCalls(control, clock, holder, keeper, queue, EngineClient(client, clock)),
+            models = ModelCalls(control, clock, holder, keeper, queue, engines),
             services = ServiceCalls(control, clock, holder, keeper, queue, ServiceClient(client)),
             forward = peers::forward,
+            decisions = decisions,
         )
         driver.start()
         keeper.start()
         startConfiguration(identity)
         queue.start(scope)
+        EngineMemory(
+            configuration = holder,
+            keeper = keeper,
+            engines = engines,
+            every = settings.engineCompareMs.milliseconds,
+            idle = settings.programIdleMs.milliseconds,
+        ).start(scope)
     }
 
     private fun startConfiguration(identity: VmIdentity) {
@@ -229,10 +246,11 @@
         zone = settings.zone,
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
-        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
+        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }, decisions),
         handle = { requests.counted(guard.guard(it, router::handle)) },
         addresses = addresses::answer,
         isOut = { withContext(control) { isOut() } },
+        decisions = decisions,
         onAnswered = { labels ->
             metrics.answered(labels)
             withContext(control) { counters.count(labels) }
@@ -244,7 +262,8 @@
         status = { withContext(control) { status() } },
         configuration = { withContext(control) { holder.current } },
         isReady = { isReady() },
-        counts = { withContext(control) { counters.snapshot() } },
+        objectives = { withContext(control) { counters.snapshot(settings.vm, settings.objectives()) } },
+        explain = decisions::of,
         metrics = metrics::exposition,
     )
 
@@ -252,6 +271,10 @@
         clock = clock,
         handle = { requests.counted(guard.guard(it, router::handle)) },
         probe = { withContext(control) { probe() } },
+        ownership = OwnershipPort(
+            promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
+            renew = { renewFor(store, it) },
+        ),
         announced = { request ->
             val driver = configuration.await().driver
             val view = withContext(control) { driver.answer(request.toMember(), request.toView()) }
