--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/LimitFleet.kt
@@ -0,0 +1,150 @@
+package io.jasmineford.bench.limit
+
+import io.jasmineford.bench.ownership.VirtualFleet
+import io.jasmineford.bench.ownership.VirtualVm
+import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.lease.MembershipSettings
+import io.jasmineford.core.limit.AccountLimiter
+import io.jasmineford.core.limit.AccountRate
+import io.jasmineford.core.limit.Admission
+import io.jasmineford.core.limit.BucketOwner
+import io.jasmineford.core.limit.LimitMessage
+import io.jasmineford.core.limit.LimitRights
+import io.jasmineford.core.limit.SharedLimiter
+import io.jasmineford.core.limit.SliceSettings
+import io.jasmineford.core.limit.StaticDivisionLimiter
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** How VMs share a rate. */
+internal enum class Sharing { SLICES, STATIC_DIVISION, LOCAL_LIMIT }
+
+/** Requests of one account. */
+internal class AccountLoad(val account: ScopedName, val rate: AccountRate) {
+    /** Times at which requests were accepted on any VM. */
+    val accepted = mutableListOf<Duration>()
+    var offered = 0
+    var refused = 0
+}
+
+/**
+ * Entry VMs that admit requests of [loads] in virtual time. A request waits at its VM until [deadline] has passed; one
+ * that was at a VM when it stopped is neither accepted nor refused.
+ */
+internal class LimitFleet(
+    vms: Int,
+    private val sharing: Sharing,
+    val loads: List<AccountLoad>,
+    private val deadline: Duration,
+    private val random: Random,
+    settings: MembershipSettings = MembershipSettings(shards = 24),
+    private val losesMessage: () -> Boolean = { false },
+) {
+    val fleet = VirtualFleet(vms, settings)
+    private val shards = settings.shards
+    private val nodes = HashMap<VirtualVm, Node>()
+    private var inbox = mutableListOf<() -> Unit>()
+
+    private inner class Node(val vm: VirtualVm) {
+        private val rights = LimitRights(vm.membership, shards)
+        val owner = BucketOwner(rights, vm.clock, SliceSettings()) { name -> loads.find { "${it.account}" == name }?.rate }
+        val shared = SharedLimiter(vm.name, rights, owner, vm.clock, SliceSettings())
+        val limiter: AccountLimiter = when (sharing) {
+            Sharing.SLICES -> shared
+            Sharing.STATIC_DIVISION -> StaticDivisionLimiter(vm.clock) { vm.membership.leases().size }
+            Sharing.LOCAL_LIMIT -> StaticDivisionLimiter(vm.clock) { 1 }
+        }
+        val queues = loads.associateWith { ArrayDeque<Duration>() }
+    }
+
+    /** Adds a request of [load] at [vm]. */
+    fun offer(load: AccountLoad, vm: VirtualVm) {
+        load.offered++
+        node(vm).queues.getValue(load).addLast(fleet.time)
+    }
+
+    /** Adds requests of a Poisson process of [perSecond] for one step, each at one of [at]. */
+    fun offerAtRandom(load: AccountLoad, perSecond: Double, at: List<VirtualVm>) {
+        val perStep = perSecond * STEP.inWholeMicroseconds / MICROS_A_SECOND
+        var left = kotlin.math.exp(-perStep)
+        var draw = random.nextDouble()
+        while (draw > left && at.isNotEmpty()) {
+            offer(load, at.random(random))
+            draw *= random.nextDouble()
+            left = kotlin.math.exp(-perStep)
+        }
+    }
+
+    /** One step of [STEP]. */
+    fun step() {
+        fleet.advance(STEP)
+        fleet.poll()
+        val arrived = inbox
+        inbox = mutableListOf()
+        arrived.forEach { it() }
+        fleet.vms.filter { it.isRunning }.forEach { vm ->
+            val node = node(vm)
+            loads.forEach { admit(node, it) }
+            if (sharing == Sharing.SLICES) node.shared.poll().forEach { send(node, it) }
+        }
+    }
+
+    private fun admit(node: Node, load: AccountLoad) {
+        val queue = node.queues.getValue(load)
+        while (queue.isNotEmpty() && fleet.time - queue.first() > deadline) {
+            queue.removeFirst()
+            load.refused++
+        }
+        val waiting = queue.size
+        repeat(waiting) {
+            if (node.limiter.admit(load.account, load.rate) is Admission.Admitted) {
+                queue.removeFirst()
+                load.accepted += fleet.time
+            }
+        }
+    }
+
+    private fun send(from: Node, message: LimitMessage) = deliver {
+        val vm = fleet.vms.find { it.name == message.vm && it.isRunning } ?: return@deliver
+        val to = node(vm)
+        when (message) {
+            is LimitMessage.Borrow -> {
+                val grant = to.owner.borrow(message.name, from.vm.name, message.request.units)
+                deliver { if (from.vm.isRunning) from.shared.onGrant(message, grant) }
+            }
+
+            is LimitMessage.Return -> to.owner.giveBack(message.name, message.slice.id, message.slice.unused)
+            is LimitMessage.HandOver -> to.owner.takeOver(message.shard, message.levels)
+        }
+    }
+
+    /** Messages arrive one step later, unless they are lost. */
+    private fun deliver(action: () -> Unit) {
+        if (!losesMessage()) inbox += action
+    }
+
+    private fun node(vm: VirtualVm): Node = nodes.getOrPut(vm) { Node(vm) }
+
+    companion object {
+        /** Also the delay of a message between VMs, a little more than between two zones. */
+        val STEP = 10.milliseconds
+        private const val MICROS_A_SECOND = 1_000_000.0
+    }
+}
+
+/** Requests that some window holds beyond `rate * t + burst`; zero when there are none. */
+internal fun overshoot(load: AccountLoad): Double {
+    var level = load.rate.burst
+    var last = Duration.ZERO
+    var worst = 0.0
+    for (at in load.accepted) {
+        val refill = (at - last).inWholeMicroseconds / 1e6 * load.rate.ratePerSecond
+        level = minOf(load.rate.burst, level + refill) - 1.0
+        last = at
+        worst = maxOf(worst, -level)
+    }
+    return if (worst < ROUNDING) 0.0 else worst
+}
+
+private const val ROUNDING = 1e-6
--- /dev/null
+++ b/jasmineford-bench/src/test/kotlin/io/jasmineford/bench/limit/OvershootTest.kt
@@ -0,0 +1,80 @@
+package io.jasmineford.bench.limit
+
+import io.jasmineford.core.config.ScopedName
+import io.jasmineford.core.lease.MembershipSettings
+import io.jasmineford.core.limit.AccountRate
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Guards against work beyond `rate * t + burst` over all VMs, whatever happens to owners: kills, restarts, pauses,
+ * partitions from the store, outages, planned leaving, lost messages. Accounts ask for three times their rate.
+ * `-Dschedules=N` runs more.
+ */
+class OvershootTest {
+    @Test
+    fun `no schedule accepts more than the rate and burst over all VMs`() {
+        val schedules = System.getProperty("schedules")?.toInt() ?: DEFAULT_SCHEDULES
+        var accepted = 0
+        val broken = (1..schedules).mapNotNull { seed ->
+            val loads = run(seed)
+            accepted += loads.sumOf { it.accepted.size }
+            loads.firstOrNull { overshoot(it) > 0.0 }?.let { "seed $seed: ${it.account} overshoots by ${overshoot(it)}" }
+        }
+        assertEquals(emptyList(), broken.take(SHOWN), "expected no overshoot in $schedules schedules, actual ${broken.size}")
+        assertTrue(accepted > schedules * LEAST_ACCEPTED, "expected accepted work, actual $accepted in $schedules schedules")
+    }
+
+    private fun run(seed: Int): List<AccountLoad> {
+        val random = Random(seed)
+        val loads = List(2) { AccountLoad(ScopedName("league", "account-$it"), AccountRate(RATE, BURST)) }
+        val limits = LimitFleet(VMS, Sharing.SLICES, loads, DEADLINE, random, SETTINGS) { random.nextInt(20) == 0 }
+        val fleet = limits.fleet
+        val until = HashMap<() -> Unit, Duration>()
+        while (fleet.time < END) {
+            if (random.nextInt(FAULT_EVERY) == 0) {
+                val end = fleet.time + random.nextInt(MAX_FAULT_MS).milliseconds
+                val vm = fleet.vms.random(random)
+                when (random.nextInt(6)) {
+                    0 -> vm.isRunning = false.also { until[{ vm.isRunning = true }] = end }
+                    1 -> vm.reachesStore = false.also { until[{ vm.reachesStore = true }] = end }
+                    2 -> fleet.store.isDown = true.also { until[{ fleet.store.isDown = false }] = end }
+                    3 -> fleet.vms[vm.index] = fleet.process(vm.index)
+                    4 -> vm.membership.leave().also { until[{ fleet.vms[vm.index] = fleet.process(vm.index) }] = end }
+                    else -> fleet.store.loseReply = { random.nextInt(10) == 0 }
+                }
+            }
+            until.filterValues { it <= fleet.time }.keys.forEach { it().also { _ -> until.remove(it) } }
+            loads.forEach { limits.offerAtRandom(it, RATE * 3, fleet.vms.filter { vm -> vm.isRunning }) }
+            limits.step()
+        }
+        return loads
+    }
+
+    private companion object {
+        const val DEFAULT_SCHEDULES = 60
+        const val SHOWN = 3
+        const val LEAST_ACCEPTED = 200
+        const val VMS = 3
+        const val RATE = 20.0
+        const val BURST = 20.0
+        const val FAULT_EVERY = 400
+        const val MAX_FAULT_MS = 8_000
+        val DEADLINE = 1.seconds
+        val END = 40.seconds
+        val SETTINGS = MembershipSettings(
+            timeToLive = 1500.milliseconds,
+            renewEvery = 500.milliseconds,
+            margin = 500.milliseconds,
+            listEvery = 250.milliseconds,
+            vmListEvery = 1.seconds,
+            goneAfter = 3.seconds,
+            shards = 4,
+        )
+    }
+}
