Wire the shared limiter into the daemon and measure it in the bench

LimitDriver replaces static division: BorrowSlice, ReturnSlice and the new HandOverQuantities carry slices and levels between daemons. A bucket of the first map of a deployment starts full, since nobody can have lent anything before; KeyTest's open route failed with 429 on its first request without that.

--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/LimitFleet.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/LimitFleet.kt
@@ -4,6 +4,7 @@
 import io.jasmineford.bench.ownership.VirtualVm
 import io.jasmineford.core.config.ScopedName
 import io.jasmineford.core.lease.MembershipSettings
+import io.jasmineford.core.lease.shardOf
 import io.jasmineford.core.limit.AccountLimiter
 import io.jasmineford.core.limit.AccountRate
 import io.jasmineford.core.limit.Admission
@@ -58,6 +59,10 @@
         val queues = loads.associateWith { ArrayDeque<Duration>() }
     }
 
+    /** The VM that may act for the bucket of [load], or null. */
+    fun ownerOf(load: AccountLoad): VirtualVm? =
+        fleet.vms.find { it.isRunning && it.membership.mayAct(shardOf("${load.account}", shards)) }
+
     /** Adds a request of [load] at [vm]. */
     fun offer(load: AccountLoad, vm: VirtualVm) {
         load.offered++
@@ -96,11 +101,14 @@
             queue.removeFirst()
             load.refused++
         }
-        val waiting = queue.size
-        repeat(waiting) {
+        // Requests wait in turn; those far behind need not try in the same step.
+        var refusals = 0
+        while (queue.isNotEmpty() && refusals < TRIES_A_STEP) {
             if (node.limiter.admit(load.account, load.rate) is Admission.Admitted) {
                 queue.removeFirst()
                 load.accepted += fleet.time
+            } else {
+                refusals++
             }
         }
     }
@@ -129,6 +137,7 @@
     companion object {
         /** Also the delay of a message between VMs, a little more than between two zones. */
         val STEP = 10.milliseconds
+        private const val TRIES_A_STEP = 10
         private const val MICROS_A_SECOND = 1_000_000.0
     }
 }
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/ownership/VirtualFleet.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/ownership/VirtualFleet.kt
@@ -38,6 +38,7 @@
 class VirtualFleet(vms: Int, private val settings: MembershipSettings) {
     private var nonce = 0L
     private var incarnations = 0L
+    private var leaseWrites = 0L
 
     /** The store, with its faults and counts. */
     val store = FakeObjectStore(historyLimit = 1)
@@ -62,6 +63,9 @@
         return VirtualVm(index, membership.incarnation, clock, membership)
     }
 
+    /** Lease writes so far, of all VMs. */
+    fun renewals(): Long = leaseWrites
+
     /** Moves time on by [step]. */
     fun advance(step: Duration) {
         time += step
@@ -83,7 +87,7 @@
         when (action) {
             is MembershipAction.WriteLease -> m.onLeaseWritten(
                 action,
-                if (isReached) put(leaseKey(action.lease.identity.vm), leaseJson.encodeToString(action.lease), action.expectedVersion, action.nonce) else DOWN,
+                if (isReached) renew(leaseKey(action.lease.identity.vm), leaseJson.encodeToString(action.lease), action.expectedVersion, action.nonce) else DOWN,
             )
 
             is MembershipAction.Revoke -> m.onRevoked(
@@ -113,6 +117,9 @@
 
     private fun put(key: String, value: String, version: Long, nonce: String) = store.put(key, value, version, nonce)
 
+    private fun renew(key: String, value: String, version: Long, nonce: String) =
+        put(key, value, version, nonce).also { leaseWrites++ }
+
     private fun read() = store.list(LEASE_PREFIX, limit = PAGE).fold(
         success = { page -> store.get(SHARD_MAP_KEY).fold({ Ok(MembershipView(page.objects, it)) }, { Err(it) }) },
         failure = { Err(it) },
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/BucketOwner.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/BucketOwner.kt
@@ -9,7 +9,7 @@
 /**
  * Buckets of the shards of this VM.
  *
- * A bucket starts empty when this VM got the shard: slices of a lost owner ended with its right, so all that it lent
+ * After another owner, a bucket starts empty when this VM got the shard: slices of a lost owner ended with its right, so all that it lent
  * counts as used. After a planned change of owner its slices may still be in use, so the bucket starts when the last of
  * them has ended, unless [takeOver] brings the state. Without a right, only the fallback share is given out.
  *
@@ -33,7 +33,7 @@
         if (now < ownership.startsAt) return SliceGrant(slice = null, retryAfter = settings.minRetry)
         val full = rateOf(name) ?: return null
         val rate = if (isFallback) full.fallbackShare() else full.without(rights.withheldShares(shard))
-        val bucket = ownership.buckets.getOrPut(name) { bucket(rate, ownership, BucketLevel(name, 0.0, 0.0)) }
+        val bucket = ownership.buckets.getOrPut(name) { bucket(rate, ownership, BucketLevel(name, ownership.startLevel(rate), 0.0)) }
         bucket.setRate(now, rate)
         return bucket.lender.borrow(now, borrower, units, if (isFallback) settings.valid else rights.rightLeft())
     }
@@ -103,10 +103,14 @@
         val incarnation: Long,
         var startsAt: Duration,
         val buckets: HashMap<String, Bucket> = HashMap(),
-    )
+    ) {
+        /** Full in the first map of a deployment, when nobody can have lent anything before. */
+        fun startLevel(rate: AccountRate): Double = if (epoch == FIRST_EPOCH) rate.burst else 0.0
+    }
 
     private companion object {
         /** Room for the slices of one ownership, so that a return never ends a slice of another owner. */
         const val EPOCH_SHIFT = 32
+        const val FIRST_EPOCH = 1L
     }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -10,7 +10,6 @@
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
 import io.jasmineford.core.program.ProgramId
-import io.jasmineford.core.limit.StaticDivisionLimiter
 import io.jasmineford.core.objective.CallCounters
 import io.jasmineford.core.schedule.CallScheduler
 import io.jasmineford.core.time.MonotonicClock
@@ -28,6 +27,7 @@
 import io.jasmineford.daemon.control.ConfigurationControl
 import io.jasmineford.daemon.control.MembershipDriver
 import io.jasmineford.daemon.control.ShardKeeper
+import io.jasmineford.daemon.limit.LimitDriver
 import io.jasmineford.daemon.operator.DaemonStatus
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
@@ -96,6 +96,7 @@
     private val requests = RequestsInFlight()
     private var isLeaving = false
     private var isClosed = false
+    private val limits = LimitDriver(settings.vm, control, clock, holder, settings.shards, peers::stub)
     private lateinit var membership: Membership
     private lateinit var keeper: ShardKeeper
     private lateinit var router: CallRouter
@@ -197,6 +198,7 @@
             forward = peers::forward,
         )
         driver.start()
+        limits.start(scope, membership)
         keeper.start()
         startConfiguration(identity)
         queue.start(scope)
@@ -229,7 +231,7 @@
         zone = settings.zone,
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
-        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }),
+        gate = AdmissionGate(control, clock, holder, limits),
         handle = { requests.counted(guard.guard(it, router::handle)) },
         addresses = { key, program, zone -> withContext(control) { addresses(key, program, zone) } },
         isOut = { isLeaving },
@@ -255,6 +257,7 @@
         ownership = OwnershipPort(
             promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
             renew = { renewFor(store, it) },
+            limits = limits,
         ),
         announced = { request ->
             val driver = configuration.await().driver
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AdmissionGate.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/caller/AdmissionGate.kt
@@ -8,14 +8,14 @@
 import io.jasmineford.core.call.Refusal
 import io.jasmineford.core.config.ConfigurationHolder
 import io.jasmineford.core.config.ScopedName
-import io.jasmineford.core.config.account
 import io.jasmineford.core.config.route
 import io.jasmineford.core.key.KeyDigest
 import io.jasmineford.core.key.digestOfKey
 import io.jasmineford.core.limit.AccountLimiter
-import io.jasmineford.core.limit.AccountRate
 import io.jasmineford.core.limit.Admission
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.daemon.limit.OPEN_ROUTE_PREFIX
+import io.jasmineford.daemon.limit.rateOf
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
@@ -45,7 +45,7 @@
             // The key is checked again after each wait, since it may have been withdrawn meanwhile.
             val identified = withContext(control) { identify(key, openRoute) }
             val caller = identified.get() ?: return identified
-            val admission = withContext(control) { limiter.admit(caller.account, rateOf(caller)) }
+            val admission = withContext(control) { limiter.admit(caller.account, configuration.current.rateOf(caller.account)) }
             when (admission) {
                 Admission.Admitted -> return Ok(caller)
                 is Admission.Wait -> if (clock.now() + admission.delay > deadline) return Err(exceeded(admission))
@@ -57,7 +57,7 @@
     private fun identify(key: String?, openRoute: ScopedName?): Result<Caller, Refusal> {
         val route = openRoute?.let { configuration.current.route(it.organisation, it.name) }
         if (key == null && openRoute != null && route?.open == true) {
-            val account = ScopedName(openRoute.organisation, "$OPEN_PREFIX${route.name}")
+            val account = ScopedName(openRoute.organisation, "$OPEN_ROUTE_PREFIX${route.name}")
             return Ok(Caller(account, keyDigest = null, configuration.current.generation))
         }
         if (key == null) return Err(Refusal(Reason.MISSING_KEY, "expected a key, actual none"))
@@ -71,22 +71,9 @@
         return Ok(Caller(account, digest, configuration.current.generation))
     }
 
-    private fun rateOf(caller: Caller): AccountRate {
-        val current = configuration.current
-        val account = current.account(caller.account)
-        if (account != null) return AccountRate(account.ratePerSecond, account.burst)
-        val routeName = caller.account.name.removePrefix(OPEN_PREFIX)
-        val route = current.organisations[caller.account.organisation]?.routes?.get(routeName)
-        return AccountRate(route?.openRatePerSecond ?: 1.0, route?.openBurst ?: 1.0)
-    }
-
     private fun exceeded(wait: Admission.Wait) = Refusal(
         reason = Reason.RATE_EXCEEDED,
         detail = "the rate allows the request in ${wait.delay}, after its deadline",
         retryAfter = wait.delay,
     )
-
-    private companion object {
-        const val OPEN_PREFIX = "open:"
-    }
 }
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/limit/LimitMessages.kt
@@ -0,0 +1,58 @@
+package io.jasmineford.daemon.limit
+
+import io.jasmineford.core.limit.BucketLevel
+import io.jasmineford.core.limit.LimitMessage
+import io.jasmineford.core.limit.Slice
+import io.jasmineford.core.limit.SliceGrant
+import io.jasmineford.protocol.BorrowReply
+import io.jasmineford.protocol.BorrowRequest
+import io.jasmineford.protocol.QuantityHandOver
+import io.jasmineford.protocol.QuantityLevel
+import io.jasmineford.protocol.ReturnRequest
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Value of the messages' field `kind` for account buckets. */
+private const val BUCKET = "bucket"
+
+internal fun LimitMessage.Borrow.toRequest(from: String): BorrowRequest = BorrowRequest.newBuilder()
+    .setKind(BUCKET)
+    .setName(name)
+    .setBorrower(from)
+    .setAmount(request.units)
+    .setDemand(request.demandPerSecond)
+    .build()
+
+internal fun LimitMessage.Return.toRequest(from: String): ReturnRequest = ReturnRequest.newBuilder()
+    .setKind(BUCKET)
+    .setName(name)
+    .setBorrower(from)
+    .setSliceId(slice.id)
+    .setAmount(slice.unused)
+    .build()
+
+internal fun LimitMessage.HandOver.toRequest(from: String): QuantityHandOver = QuantityHandOver.newBuilder()
+    .setShard(shard)
+    .setFromVm(from)
+    .addAllLevels(levels.map { it.toMessage() })
+    .build()
+
+internal fun QuantityHandOver.toLevels(): List<BucketLevel> =
+    levelsList.filter { it.kind == BUCKET }.map { BucketLevel(it.name, it.level, it.lent) }
+
+/** The validity is rounded down, so that the borrower's right ends first. */
+internal fun SliceGrant.toMessage(): BorrowReply = BorrowReply.newBuilder()
+    .setGranted(slice?.units ?: 0.0)
+    .setSliceId(slice?.id ?: 0)
+    .setValidMs(slice?.valid?.inWholeMilliseconds ?: 0)
+    .setRetryAfterMs(retryAfter.inWholeMilliseconds)
+    .build()
+
+/** Null when the sender is not the owner. */
+internal fun BorrowReply.toGrant(): SliceGrant? {
+    if (notOwner) return null
+    val slice = if (granted >= 1.0) Slice(sliceId, granted, validMs.milliseconds) else null
+    return SliceGrant(slice, retryAfterMs.milliseconds)
+}
+
+private fun BucketLevel.toMessage(): QuantityLevel =
+    QuantityLevel.newBuilder().setKind(BUCKET).setName(name).setLevel(level).setLent(lent).build()
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/peer/PeerServer.kt
@@ -4,6 +4,9 @@
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.daemon.call.Call
+import io.jasmineford.daemon.limit.LimitDriver
+import io.jasmineford.protocol.BorrowReply
+import io.jasmineford.protocol.BorrowRequest
 import io.jasmineford.protocol.ForwardedCall
 import io.jasmineford.protocol.Generation
 import io.jasmineford.protocol.PeerGrpcKt
@@ -11,8 +14,12 @@
 import io.jasmineford.protocol.ProbeRequest
 import io.jasmineford.protocol.PromiseReply
 import io.jasmineford.protocol.PromiseRequest
+import io.jasmineford.protocol.QuantityHandOver
+import io.jasmineford.protocol.QuantityHandOverReply
 import io.jasmineford.protocol.RenewReply
 import io.jasmineford.protocol.RenewRequest
+import io.jasmineford.protocol.ReturnReply
+import io.jasmineford.protocol.ReturnRequest
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.map
 import java.net.InetSocketAddress
@@ -29,10 +36,11 @@
     val ownership: OwnershipPort,
 )
 
-/** What the peer port needs for leases. */
+/** What the peer port needs for leases and shared limits. */
 internal class OwnershipPort(
     val promise: suspend (Promise) -> Boolean,
     val renew: suspend (RenewRequest) -> RenewReply,
+    val limits: LimitDriver,
 )
 
 /** gRPC service for other daemons. */
@@ -47,6 +55,18 @@
     override suspend fun promiseNoRevoke(request: PromiseRequest): PromiseReply =
         PromiseReply.newBuilder().setPromised(port.ownership.promise(request.toRequest())).build()
 
+    override suspend fun borrowSlice(request: BorrowRequest): BorrowReply = port.ownership.limits.borrow(request)
+
+    override suspend fun returnSlice(request: ReturnRequest): ReturnReply {
+        port.ownership.limits.giveBack(request)
+        return ReturnReply.getDefaultInstance()
+    }
+
+    override suspend fun handOverQuantities(request: QuantityHandOver): QuantityHandOverReply {
+        port.ownership.limits.takeOver(request)
+        return QuantityHandOverReply.getDefaultInstance()
+    }
+
     override suspend fun renewLeaseFor(request: RenewRequest): RenewReply = port.ownership.renew(request)
 }
 
