--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/LimitFleet.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/LimitFleet.kt
@@ -123,7 +123,7 @@
             }
 
             is LimitMessage.Return -> to.owner.giveBack(message.name, message.slice.id, message.slice.unused)
-            is LimitMessage.HandOver -> to.owner.takeOver(message.shard, message.levels)
+            is LimitMessage.HandOver -> to.owner.takeOver(message.state)
         }
     }
 
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/BucketOwner.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/BucketOwner.kt
@@ -6,6 +6,14 @@
 /** State of a bucket that its owner passes on by plan: [level] tokens not lent, [lent] that may still be used. */
 data class BucketLevel(val name: String, val level: Double, val lent: Double)
 
+/**
+ * State of the buckets of a shard that its owner passes on by plan.
+ *
+ * @property epoch epoch of the next ownership, which alone may use this state.
+ * @property isRestFull whether buckets that are not in [levels] are full, since nobody ever lent from them.
+ */
+data class ShardLevels(val shard: Int, val epoch: Long, val levels: List<BucketLevel>, val isRestFull: Boolean)
+
 /**
  * Buckets of the shards of this VM.
  *
@@ -22,6 +30,8 @@
     private val rateOf: (name: String) -> AccountRate?,
 ) {
     private val owned = HashMap<Int, Ownership>()
+    private val received = HashMap<Int, ShardLevels>()
+    private var lastMapEpoch = 0L
 
     /** Lends up to [units] of [name] to [borrower]; null when this VM may not act for it. */
     fun borrow(name: String, borrower: String, units: Double): SliceGrant? {
@@ -43,36 +53,52 @@
         owned[rights.shard(name)]?.buckets?.get(name)?.lender?.giveBack(clock.now(), id, unused)
     }
 
-    /** Notes shards that this VM got, and returns the state of those that it handed over, by shard. */
-    fun poll(): Map<Int, List<BucketLevel>> {
+    /** Notes shards that this VM got, and returns the state of those that it handed over. */
+    fun poll(): List<ShardLevels> {
         val now = clock.now()
         val own = rights.ownShards().toSet()
-        own.forEach { ownership(it, now) }
+        // The state is valid only for the owner that directly follows this one.
+        val isNextMap = rights.mapEpoch == lastMapEpoch + 1
+        lastMapEpoch = rights.mapEpoch
         val lost = owned.keys - own
-        return lost.associateWith { levels(owned.getValue(it), now) }
-            .filterKeys { rights.isReleased(it) }
-            .also { owned.keys.removeAll(lost) }
+        val released = lost.filter { isNextMap && rights.isReleased(it) && rights.owner(it)?.second == rights.mapEpoch }
+        val handedOver = released.map { shard ->
+            val ownership = owned.getValue(shard)
+            ShardLevels(shard, rights.mapEpoch, levels(ownership, now), ownership.isFullAtStart)
+        }
+        owned.keys.removeAll(lost)
+        own.forEach { ownership(it, now) }
+        return handedOver
     }
 
-    /** Takes the [levels] that the owner before passed on when it released [shard]; ignored once the buckets started. */
-    fun takeOver(shard: Int, levels: List<BucketLevel>) {
-        val now = clock.now()
-        val ownership = owned[shard] ?: return
+    /** Takes the state that the owner before passed on, maybe before this VM has read the map. */
+    fun takeOver(state: ShardLevels) {
+        received[state.shard] = state
+        ownership(state.shard, clock.now())
+    }
+
+    private fun useReceived(shard: Int, ownership: Ownership, now: Duration) {
+        val state = received[shard]?.takeIf { it.epoch == ownership.epoch } ?: return
+        received.remove(shard)
         if (now >= ownership.startsAt || ownership.buckets.isNotEmpty()) return
-        for (level in levels) {
+        ownership.startsAt = now
+        ownership.isFullAtStart = state.isRestFull
+        for (level in state.levels) {
             val rate = rateOf(level.name)?.without(rights.withheldShares(shard)) ?: continue
-            ownership.buckets[level.name] = bucket(rate, ownership.copy(startsAt = now), level)
+            ownership.buckets[level.name] = bucket(rate, ownership, level)
         }
-        ownership.startsAt = now
     }
 
     private fun ownership(shard: Int, now: Duration): Ownership? {
         val (holder, epoch) = rights.owner(shard) ?: return null
         if (shard !in rights.ownShards()) return null
         val known = owned[shard]?.takeIf { it.epoch == epoch && it.incarnation == holder.incarnation }
-        if (known != null) return known
+        if (known != null) return known.also { useReceived(shard, it, now) }
         val startsAt = if (rights.isReleased(shard)) now + settings.valid * 2 else now
-        return Ownership(epoch, holder.incarnation, startsAt).also { owned[shard] = it }
+        val next = Ownership(epoch, holder.incarnation, startsAt, isFullAtStart = epoch == FIRST_EPOCH)
+        owned[shard] = next
+        useReceived(shard, next, now)
+        return next
     }
 
     private fun bucket(rate: AccountRate, ownership: Ownership, from: BucketLevel): Bucket {
@@ -102,10 +128,11 @@
         val epoch: Long,
         val incarnation: Long,
         var startsAt: Duration,
+        /** In the first map of a deployment, nobody can have lent anything before. */
+        var isFullAtStart: Boolean,
         val buckets: HashMap<String, Bucket> = HashMap(),
     ) {
-        /** Full in the first map of a deployment, when nobody can have lent anything before. */
-        fun startLevel(rate: AccountRate): Double = if (epoch == FIRST_EPOCH) rate.burst else 0.0
+        fun startLevel(rate: AccountRate): Double = if (isFullAtStart) rate.burst else 0.0
     }
 
     private companion object {
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/LimitRights.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/LimitRights.kt
@@ -11,6 +11,9 @@
     private val membership: Membership,
     private val shards: Int,
 ) {
+    /** Epoch of the newest shard map. */
+    val mapEpoch: Long get() = membership.map.epoch
+
     fun shard(name: String): Int = shardOf(name, shards)
 
     /** Owner of [shard] with the epoch of its ownership; null before the first map. */
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SharedLimiter.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SharedLimiter.kt
@@ -15,8 +15,8 @@
     /** Return of a slice of [name]. */
     data class Return(override val vm: String, val name: String, val slice: SliceMessage.Return) : LimitMessage
 
-    /** State of the buckets of [shard], which this VM handed over to [vm]. */
-    data class HandOver(override val vm: String, val shard: Int, val levels: List<BucketLevel>) : LimitMessage
+    /** State of the buckets of a shard that this VM handed over to [vm]. */
+    data class HandOver(override val vm: String, val state: ShardLevels) : LimitMessage
 }
 
 /** Admits requests from slices of the accounts' buckets, which this VM borrows from their owners. */
@@ -45,8 +45,8 @@
     /** Messages that are due. */
     fun poll(): List<LimitMessage> {
         val now = clock.now()
-        val handOvers = owner.poll().mapNotNull { (shard, levels) ->
-            rights.owner(shard)?.let { LimitMessage.HandOver(it.first.vm, shard, levels) }
+        val handOvers = owner.poll().mapNotNull { state ->
+            rights.owner(state.shard)?.let { LimitMessage.HandOver(it.first.vm, state) }
         }
         borrowers.values.removeAll { it.isIdle(now) }
         val remote = borrowers.flatMap { (name, borrower) ->
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/limit/LimitDriver.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/limit/LimitDriver.kt
@@ -75,7 +75,7 @@
 
     /** Takes the state of buckets that their owner handed over. */
     suspend fun takeOver(request: QuantityHandOver): Unit = withContext(control) {
-        running?.owner?.takeOver(request.shard, request.toLevels())
+        running?.owner?.takeOver(request.toState())
     }
 
     private suspend fun send(message: LimitMessage) {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/limit/LimitMessages.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/limit/LimitMessages.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.core.limit.BucketLevel
 import io.jasmineford.core.limit.LimitMessage
+import io.jasmineford.core.limit.ShardLevels
 import io.jasmineford.core.limit.Slice
 import io.jasmineford.core.limit.SliceGrant
 import io.jasmineford.protocol.BorrowReply
@@ -31,13 +32,19 @@
     .build()
 
 internal fun LimitMessage.HandOver.toRequest(from: String): QuantityHandOver = QuantityHandOver.newBuilder()
-    .setShard(shard)
+    .setShard(state.shard)
+    .setEpoch(state.epoch)
     .setFromVm(from)
-    .addAllLevels(levels.map { it.toMessage() })
+    .addAllLevels(state.levels.map { it.toMessage() })
+    .setIsRestFull(state.isRestFull)
     .build()
 
-internal fun QuantityHandOver.toLevels(): List<BucketLevel> =
-    levelsList.filter { it.kind == BUCKET }.map { BucketLevel(it.name, it.level, it.lent) }
+internal fun QuantityHandOver.toState(): ShardLevels = ShardLevels(
+    shard = shard,
+    epoch = epoch,
+    levels = levelsList.filter { it.kind == BUCKET }.map { BucketLevel(it.name, it.level, it.lent) },
+    isRestFull = isRestFull,
+)
 
 /** The validity is rounded down, so that the borrower's right ends first. */
 internal fun SliceGrant.toMessage(): BorrowReply = BorrowReply.newBuilder()
