--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/Scenarios.kt
@@ -1,8 +1,16 @@
 package io.jasmineford.bench
 
+import io.jasmineford.bench.endpoint.fairScenario
+import io.jasmineford.bench.endpoint.memoryScenario
 import io.jasmineford.bench.endpoint.placementScenarios
+import io.jasmineford.bench.fleet.fleetScenario
+import io.jasmineford.bench.fleet.league
+import io.jasmineford.bench.fleet.shop
 import io.jasmineford.bench.limit.rateScenarios
 import io.jasmineford.bench.ownership.ownershipScenarios
 
 /** All scenarios, in the order in which `bench run --all` runs them. */
-val scenarios: List<Scenario> = placementScenarios.dropLast(1) + rateScenarios + ownershipScenarios
+val scenarios: List<Scenario> = listOf(
+    fleetScenario(league),
+    fleetScenario(shop),
+) + placementScenarios + memoryScenario + fairScenario + rateScenarios + ownershipScenarios
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/ownership/OwnershipScenarios.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/ownership/OwnershipScenarios.kt
@@ -19,7 +19,7 @@
         val settings = MembershipSettings()
         val kills = List(RUNS) { change(settings, random) { vm -> vm.isRunning = false } }
         val restarts = List(RUNS) { change(settings, random) { vm -> vms[vm.index] = process(vm.index) } }
-        val stops = List(RUNS) { change(settings, random) { vm -> vm.membership.leave() } }
+        val stops = List(RUNS) { change(settings, random) { vm -> vm.membership.setLeaving(true) } }
         // A read may begin just before the wait is over, so two read intervals and two polls come on top.
         val bound = settings.takeoverWait + settings.listEvery * 2 + 1.seconds
         listOf(
--- a/jasmineford-bench/src/test/kotlin/io/jasmineford/bench/limit/OvershootTest.kt
+++ b/jasmineford-bench/src/test/kotlin/io/jasmineford/bench/limit/OvershootTest.kt
@@ -45,7 +45,7 @@
                     1 -> vm.reachesStore = false.also { until[{ vm.reachesStore = true }] = end }
                     2 -> fleet.store.isDown = true.also { until[{ fleet.store.isDown = false }] = end }
                     3 -> fleet.vms[vm.index] = fleet.process(vm.index)
-                    4 -> vm.membership.leave().also { until[{ fleet.vms[vm.index] = fleet.process(vm.index) }] = end }
+                    4 -> vm.membership.setLeaving(true).also { until[{ fleet.vms[vm.index] = fleet.process(vm.index) }] = end }
                     else -> fleet.store.loseReply = { random.nextInt(10) == 0 }
                 }
             }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/program/ProgramBook.kt
@@ -34,10 +34,14 @@
     /** Whether [ticket] is the one in flight; false after its program was dropped or taken over. */
     fun isInFlight(ticket: TurnTicket): Boolean = entryOf(ticket) != null
 
-    /** Programs whose last call ended at least [idle] ago or that have ended; their engine memory may be freed. */
-    fun silent(idle: Duration): Set<ProgramId> = programs
-        .filterValues { it.inFlight == null && (it.state.isClosed || clock.now() - it.usedAt >= idle) }
-        .keys
+    /**
+     * Whether engine memory of [program] may be freed: it is unknown, has ended, or its last call ended at least [idle]
+     * ago.
+     */
+    fun isUnused(program: ProgramId, idle: Duration): Boolean {
+        val entry = programs[program] ?: return true
+        return entry.inFlight == null && (entry.state.isClosed || clock.now() - entry.usedAt >= idle)
+    }
 
     /** Takes a program over from a replayed journal. */
     fun adopt(program: ProgramId, state: ProgramState) {
@@ -56,8 +60,11 @@
     /** Checks [request] and reserves its budget. */
     fun begin(request: TurnRequest): TurnDecision {
         val entry = programs[request.program]
-        val effect = request.idempotencyKey?.takeIf { !request.isIdempotent }?.let { entry?.state?.effects?.get(it) }
-        if (effect != null) return repeatedEffect(request, effect)
+        val key = request.idempotencyKey?.takeIf { !request.isIdempotent }
+        val effect = key?.let { entry?.state?.effects?.get(it) }
+        if (key != null && (effect != null || entry?.inFlight?.idempotencyKey == key)) {
+            return repeatedEffect(request, effect, entry?.inFlight)
+        }
         entry?.let { repeatedTurn(request, it) }?.let { return it }
         val refusal = stateRefusal(request, entry, programs::containsKey) ?: sizeRefusal(request, entry) ?: budgetRefusal(request)
         return if (refusal != null) TurnDecision.Refuse(refusal) else run(request, entry)
@@ -165,25 +172,29 @@
         return Entry(state, usedAt = clock.now()).also { programs[program] = it }
     }
 
-    private fun repeatedEffect(request: TurnRequest, known: Effect): TurnDecision = when {
-        known.requestDigest != request.requestDigest -> refuse(
-            Reason.IDEMPOTENCY_KEY_REUSED,
-            "expected the request that first used the key, actual another one",
-        )
+    private fun repeatedEffect(request: TurnRequest, known: Effect?, inFlight: TurnTicket?): TurnDecision {
+        val isInFlight = inFlight?.idempotencyKey == request.idempotencyKey
+        val firstDigest = known?.requestDigest ?: inFlight?.requestDigest
+        return when {
+            firstDigest != request.requestDigest -> refuse(
+                Reason.IDEMPOTENCY_KEY_REUSED,
+                "expected the request that first used the key, actual another one",
+            )
 
-        programs[request.program]?.inFlight?.idempotencyKey == request.idempotencyKey -> refuse(
-            Reason.PROGRAM_BUSY,
-            "the call with this idempotency key is in flight",
-            Outcome.OUTCOME_UNKNOWN,
-        )
+            isInFlight -> refuse(
+                Reason.PROGRAM_BUSY,
+                "the call with this idempotency key is in flight",
+                Outcome.OUTCOME_UNKNOWN,
+            )
 
-        known.outcome == null -> refuse(
-            Reason.INTENT_UNRESOLVED,
-            "an earlier attempt was dispatched or about to be, and its outcome is not known",
-            Outcome.OUTCOME_UNKNOWN,
-        )
+            known?.outcome == null -> refuse(
+                Reason.INTENT_UNRESOLVED,
+                "an earlier attempt was dispatched or about to be, and its outcome is not known",
+                Outcome.OUTCOME_UNKNOWN,
+            )
 
-        else -> TurnDecision.Replay(known)
+            else -> TurnDecision.Replay(known)
+        }
     }
 
     private fun repeatedTurn(request: TurnRequest, entry: Entry): TurnDecision? {
--- a/jasmineford-core/src/test/kotlin/io/jasmineford/core/lease/OwnershipScheduleTest.kt
+++ b/jasmineford-core/src/test/kotlin/io/jasmineford/core/lease/OwnershipScheduleTest.kt
@@ -102,7 +102,7 @@
                 4 -> isolatedUntil[process.vm] = until
                 5 -> downUntil = until
                 6, 7 -> restart(process.vm, until)
-                8 -> if (random.nextInt(LEAVE_EVERY) == 0) process.membership.leave()
+                8 -> if (random.nextInt(LEAVE_EVERY) == 0) process.membership.setLeaving(true)
             }
         }
 
