--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -7,7 +7,6 @@
 import io.jasmineford.core.config.isOut
 import io.jasmineford.core.lease.Membership
 import io.jasmineford.core.lease.VmIdentity
-import io.jasmineford.core.limit.StaticDivisionLimiter
 import io.jasmineford.core.objective.CallCounters
 import io.jasmineford.core.objective.DecisionLog
 import io.jasmineford.core.program.ProgramId
@@ -29,6 +28,7 @@
 import io.jasmineford.daemon.control.MembershipDriver
 import io.jasmineford.daemon.control.ShardKeeper
 import io.jasmineford.daemon.endpoint.CrashReports
+import io.jasmineford.daemon.limit.LimitDriver
 import io.jasmineford.daemon.operator.DaemonStatus
 import io.jasmineford.daemon.operator.OperatorPort
 import io.jasmineford.daemon.operator.PeerStatus
@@ -104,6 +104,7 @@
     private val addresses = addressService()
     private var isLeaving = false
     private var isClosed = false
+    private val limits = LimitDriver(settings.vm, control, clock, holder, settings.shards, peers::stub)
     private lateinit var membership: Membership
     private lateinit var keeper: ShardKeeper
     private lateinit var router: CallRouter
@@ -210,6 +211,7 @@
             decisions = decisions,
         )
         driver.start()
+        limits.start(scope, membership)
         keeper.start()
         startConfiguration(identity)
         queue.start(scope)
@@ -250,7 +252,7 @@
         zone = settings.zone,
         clock = clock,
         defaultDeadline = settings.callDeadlineMs.milliseconds,
-        gate = AdmissionGate(control, clock, holder, StaticDivisionLimiter(clock) { membership.leases().size }, decisions),
+        gate = AdmissionGate(control, clock, holder, limits, decisions),
         handle = { requests.counted(guard.guard(it, router::handle)) },
         addresses = addresses::answer,
         isOut = { withContext(control) { isOut() } },
@@ -278,6 +280,7 @@
         ownership = OwnershipPort(
             promise = { withContext(control) { ::membership.isInitialized && membership.promise(it) } },
             renew = { renewFor(store, it) },
+            limits = limits,
         ),
         announced = { request ->
             val driver = configuration.await().driver
