Let fleets over real sockets settle their shards before a test relies on a keeper

Cause: CrashTest, PlannedStopTest and ReportCommandsTest failed now and then. Change: LoopbackFleet and ReportCommandsTest wait until every VM serves the same number of shards; the checks are as they were.

--- a/jasmineford-cli/src/test/kotlin/io/jasmineford/cli/ReportCommandsTest.kt
+++ b/jasmineford-cli/src/test/kotlin/io/jasmineford/cli/ReportCommandsTest.kt
@@ -1,6 +1,8 @@
 package io.jasmineford.cli
 
 import com.github.ajalt.clikt.testing.test
+import com.github.michaelbull.result.get
+import io.jasmineford.cli.operator.OperatorClient
 import io.jasmineford.cli.quickstart.QuickstartClient
 import io.jasmineford.cli.quickstart.QuickstartFleet
 import io.ktor.client.HttpClient
@@ -26,6 +28,8 @@
             publish(fleet)
             withTimeout(15.seconds) {
                 while (!fleet.daemons.all { it.daemon.isReady() && it.daemon.generation() > 0 }) delay(20.milliseconds)
+                // The keeper that the address answer names changes while shards are still handed over.
+                while (!fleet.areShardsSettled()) delay(20.milliseconds)
             }
             val first = fleet.daemons.first().identity
             QuickstartClient("league-example-key").use { client ->
@@ -45,6 +49,11 @@
         }
     }
 
+    private suspend fun QuickstartFleet.areShardsSettled(): Boolean = OperatorClient().use { client ->
+        val served = daemons.map { client.status(it.identity.operatorAddress).get()?.shards }
+        served.distinct().size == 1 && served.first() != 0
+    }
+
     private suspend fun publish(fleet: QuickstartFleet) {
         val (engineA, engineB, service) = fleet.endpointPorts
         val note = File("../examples/league.yaml").readText()
--- a/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
+++ b/jasmineford-daemon/src/test/kotlin/io/jasmineford/daemon/caller/LoopbackFleet.kt
@@ -102,6 +102,16 @@
         daemons.all { it.generation() == generation }
     }
 
+    /** Waits until each VM serves its part of the shards, so that the keeper of a program stays the same. */
+    suspend fun awaitSettledShards() = awaitUntil("the same number of shards on every VM") {
+        identities.map { servedShards(it) }.toSet() == setOf(SHARDS / identities.size)
+    }
+
+    private suspend fun servedShards(vm: VmIdentity): Int {
+        val status = http.get("http://${vm.operatorAddress}/status").bodyAsText()
+        return status.substringAfter("\"shards\":").substringBefore(',').toInt()
+    }
+
     suspend fun call(vm: Int, path: String, build: HttpRequestBuilder.() -> Unit = {}): HttpResponse =
         http.post("http://${identities[vm].callerAddress}$path", build)
 
@@ -151,6 +161,7 @@
         val ZONES = listOf("be-wal-a", "be-wal-b", "be-wal-c")
         const val CHAT = """{"model":"chat","messages":[{"role":"user","content":"hello"}]}"""
         const val CLIENT_TIMEOUT_MS = 30_000L
+        const val SHARDS = 48
 
         /** A service path whose side effect is done at once and whose answer comes late. */
         const val HANGING_PATH = "hanging"
@@ -165,6 +176,7 @@
         fleet.publish(fleet.note("lttwb", "first-secret-key", 0, fleet.enginePorts[0]))
         fleet.publish(fleet.note("shop", "second-secret-key", 1, fleet.enginePorts[1]))
         fleet.awaitGeneration(2)
+        fleet.awaitSettledShards()
         block(fleet)
     }
 }
