Run the fleet scenarios with slices of the rate, as the daemon does

Change: SliceNetwork holds the limiters and their messages for the rate scenarios and the fleet scenarios; static division and no limit are baselines in the same run.

--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/fleet/FleetRun.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/fleet/FleetRun.kt
@@ -12,13 +12,11 @@
 import io.jasmineford.core.lease.Lease
 import io.jasmineford.core.lease.VmIdentity
 import io.jasmineford.core.lease.shardOf
-import io.jasmineford.core.limit.AccountLimiter
 import io.jasmineford.core.limit.AccountRate
 import io.jasmineford.core.limit.Admission
 import io.jasmineford.core.limit.TokenBucket
 import io.jasmineford.core.program.ProgramId
 import io.jasmineford.core.program.shardName
-import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.standin.engine.FakeEngine
 import io.jasmineford.standin.platform.FakeObjectStore
 import kotlin.random.Random
@@ -35,14 +33,11 @@
     val patience: Duration = 30.seconds,
 )
 
-/** Makes the limiter of one VM of [vms]. */
-typealias LimiterFactory = (clock: MonotonicClock, vms: Int) -> AccountLimiter
-
 /** Runs a deployment in virtual time: callers, entry VMs with the product's state machines, and engines. */
 class FleetRun(
     internal val shape: DeploymentShape,
     private val seed: Long,
-    limiter: LimiterFactory,
+    makeLimits: FleetLimitsFactory,
     internal val times: FleetTimes = FleetTimes(),
 ) {
     internal val random = Random(seed)
@@ -57,12 +52,14 @@
     internal val engines = endpoints.associate {
         it.address to EngineRunner(time, FakeEngine(it.name, random = Random(seed + it.name.hashCode())))
     }
-    internal val vms: List<SimulatedVm> = shape.zones.flatMap { zone ->
-        (1..shape.vmsPerZone).map { index ->
-            val vms = shape.zones.size * shape.vmsPerZone
-            SimulatedVm("$zone-$index", zone, time, store, { "n${nonce++}" }, limiter(time.clock, vms))
-        }
+    private val limits = makeLimits(time, shape.zones.size * shape.vmsPerZone) { name ->
+        shape.accountShares.indices.find { accountName(it).toString() == name }?.let(::rateOf)
     }
+    internal val vms: List<SimulatedVm> = shape.zones
+        .flatMap { zone -> (1..shape.vmsPerZone).map { zone to "$zone-$it" } }
+        .mapIndexed { index, (zone, name) ->
+            SimulatedVm(name, zone, time, store, { "n${nonce++}" }, limits.limiters[index])
+        }
     private val leases = vms.map { Lease(VmIdentity(it.name, it.zone, it.name, it.name, it.name), 1, 1) }
     private var published = Configuration(
         generation = 1,
@@ -76,6 +73,7 @@
         vms.forEach { it.configure(published) }
         time.at(times.zoneOut) { publish(ServiceState(zonesOut = setOf(shape.zones.first()))) }
         time.at(times.zoneIn) { publish(ServiceState()) }
+        time.every(LIMIT_STEP, times.end + times.patience) { limits.step() }
         time.every(1.seconds, times.end) { record.queues += time.now to queued.toList() }
         startNext()
         time.runUntil(times.end + times.patience)
@@ -121,7 +119,7 @@
     }
 
     private fun offer(vm: SimulatedVm, account: Int, deadline: Duration, isWithinRate: Boolean, onAdmitted: () -> Unit) {
-        when (val admission = vm.limiter.admit(ScopedName(ORGANISATION, "account-$account"), rateOf(account))) {
+        when (val admission = vm.limiter.admit(accountName(account), rateOf(account))) {
             Admission.Admitted -> onAdmitted()
             is Admission.Wait -> if (time.now + admission.delay <= deadline) {
                 time.after(maxOf(admission.delay, LEAST_WAIT)) { offer(vm, account, deadline, isWithinRate, onAdmitted) }
@@ -131,6 +129,8 @@
         }
     }
 
+    private fun accountName(account: Int) = ScopedName(ORGANISATION, "account-$account")
+
     private fun startNext() {
         val gap = -kotlin.math.ln(1 - random.nextDouble()) / shape.programsPerSecond
         time.after(gap.seconds) {
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/fleet/FleetScenario.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/fleet/FleetScenario.kt
@@ -6,11 +6,6 @@
 import io.jasmineford.bench.Plot
 import io.jasmineford.bench.Scenario
 import io.jasmineford.bench.Series
-import io.jasmineford.core.config.ScopedName
-import io.jasmineford.core.limit.AccountLimiter
-import io.jasmineford.core.limit.AccountRate
-import io.jasmineford.core.limit.Admission
-import io.jasmineford.core.limit.StaticDivisionLimiter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -21,26 +16,18 @@
     description = "the five tracked measures of ${shape.name} while a zone leaves and returns",
 ) { seed ->
     val name = "fleet-${shape.name}"
-    val product = FleetRun(shape, seed, productLimiter)
+    val product = FleetRun(shape, seed, sliceLimits)
     val record = product.run()
-    val unlimited = FleetRun(shape, seed, unlimited).run()
+    val baselines = mapOf("static-division" to dividedLimits, "unlimited" to noLimits).flatMap { (variant, limits) ->
+        val baseline = FleetRun(shape, seed, limits).run()
+        measure(baseline, product.times, name, variant, seed).map { it.copy(bound = null) }
+    }
     Findings(
-        measurements = measure(record, product.times, name, PRODUCT_VARIANT, seed) +
-            measure(unlimited, product.times, name, "unlimited", seed).map { it.copy(bound = null) },
+        measurements = measure(record, product.times, name, PRODUCT_VARIANT, seed) + baselines,
         plots = plotsOf(record, product.times, shape),
     )
 }
 
-/** The limiter that the daemon runs. */
-private val productLimiter: LimiterFactory = { clock, vms -> StaticDivisionLimiter(clock) { vms } }
-
-/** Baseline without limits: the part of the latency that is not due to limiters. */
-private val unlimited: LimiterFactory = { _, _ ->
-    object : AccountLimiter {
-        override fun admit(account: ScopedName, rate: AccountRate) = Admission.Admitted
-    }
-}
-
 private fun measure(
     record: FleetRecord,
     times: FleetTimes,
--- a/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/LimitFleet.kt
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/LimitFleet.kt
@@ -8,11 +8,6 @@
 import io.jasmineford.core.limit.AccountLimiter
 import io.jasmineford.core.limit.AccountRate
 import io.jasmineford.core.limit.Admission
-import io.jasmineford.core.limit.BucketOwner
-import io.jasmineford.core.limit.LimitMessage
-import io.jasmineford.core.limit.LimitRights
-import io.jasmineford.core.limit.SharedLimiter
-import io.jasmineford.core.limit.SliceSettings
 import io.jasmineford.core.limit.StaticDivisionLimiter
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -40,19 +35,21 @@
     private val deadline: Duration,
     private val random: Random,
     settings: MembershipSettings = MembershipSettings(shards = 24),
-    private val losesMessage: () -> Boolean = { false },
+    losesMessage: () -> Boolean = { false },
 ) {
     val fleet = VirtualFleet(vms, settings)
     private val shards = settings.shards
     private val nodes = HashMap<VirtualVm, Node>()
-    private var inbox = mutableListOf<() -> Unit>()
-
-    private inner class Node(val vm: VirtualVm) {
-        private val rights = LimitRights(vm.membership, shards)
-        val owner = BucketOwner(rights, vm.clock, SliceSettings()) { name -> loads.find { "${it.account}" == name }?.rate }
-        val shared = SharedLimiter(vm.name, rights, owner, vm.clock, SliceSettings())
+    private val network = SliceNetwork(
+        fleet = fleet,
+        shards = shards,
+        rateOf = { name -> loads.find { "${it.account}" == name }?.rate },
+        losesMessage = losesMessage,
+    )
+
+    private inner class Node(vm: VirtualVm) {
         val limiter: AccountLimiter = when (sharing) {
-            Sharing.SLICES -> shared
+            Sharing.SLICES -> network.limiterOf(vm)
             Sharing.STATIC_DIVISION -> StaticDivisionLimiter(vm.clock) { vm.membership.leases().size }
             Sharing.LOCAL_LIMIT -> StaticDivisionLimiter(vm.clock) { 1 }
         }
@@ -85,14 +82,12 @@
     fun step() {
         fleet.advance(STEP)
         fleet.poll()
-        val arrived = inbox
-        inbox = mutableListOf()
-        arrived.forEach { it() }
+        network.deliver()
         fleet.vms.filter { it.isRunning }.forEach { vm ->
             val node = node(vm)
             loads.forEach { admit(node, it) }
-            if (sharing == Sharing.SLICES) node.shared.poll().forEach { send(node, it) }
         }
+        if (sharing == Sharing.SLICES) network.poll()
     }
 
     private fun admit(node: Node, load: AccountLoad) {
@@ -113,25 +108,6 @@
         }
     }
 
-    private fun send(from: Node, message: LimitMessage) = deliver {
-        val vm = fleet.vms.find { it.name == message.vm && it.isRunning } ?: return@deliver
-        val to = node(vm)
-        when (message) {
-            is LimitMessage.Borrow -> {
-                val grant = to.owner.borrow(message.name, from.vm.name, message.request.units)
-                deliver { if (from.vm.isRunning) from.shared.onGrant(message, grant) }
-            }
-
-            is LimitMessage.Return -> to.owner.giveBack(message.name, message.slice.id, message.slice.unused)
-            is LimitMessage.HandOver -> to.owner.takeOver(message.state)
-        }
-    }
-
-    /** Messages arrive one step later, unless they are lost. */
-    private fun deliver(action: () -> Unit) {
-        if (!losesMessage()) inbox += action
-    }
-
     private fun node(vm: VirtualVm): Node = nodes.getOrPut(vm) { Node(vm) }
 
     companion object {
--- /dev/null
+++ b/jasmineford-bench/src/main/kotlin/io/jasmineford/bench/limit/SliceNetwork.kt
@@ -0,0 +1,70 @@
+package io.jasmineford.bench.limit
+
+import io.jasmineford.bench.ownership.VirtualFleet
+import io.jasmineford.bench.ownership.VirtualVm
+import io.jasmineford.core.limit.AccountRate
+import io.jasmineford.core.limit.BucketOwner
+import io.jasmineford.core.limit.LimitMessage
+import io.jasmineford.core.limit.LimitRights
+import io.jasmineford.core.limit.SharedLimiter
+import io.jasmineford.core.limit.SliceSettings
+
+/**
+ * The product's shared limiters of all VMs of [fleet], with their messages in virtual time.
+ *
+ * @param rateOf rate of the account of that scoped name; null for an unknown one.
+ * @param losesMessage decides for each message whether it is lost.
+ */
+internal class SliceNetwork(
+    private val fleet: VirtualFleet,
+    private val shards: Int,
+    private val rateOf: (name: String) -> AccountRate?,
+    private val losesMessage: () -> Boolean = { false },
+) {
+    private val nodes = HashMap<VirtualVm, Node>()
+    private var inbox = mutableListOf<() -> Unit>()
+
+    private inner class Node(val vm: VirtualVm) {
+        private val rights = LimitRights(vm.membership, shards)
+        val owner = BucketOwner(rights, vm.clock, SliceSettings(), rateOf)
+        val limiter = SharedLimiter(vm.name, rights, owner, vm.clock, SliceSettings())
+    }
+
+    /** Limiter of [vm]. */
+    fun limiterOf(vm: VirtualVm): SharedLimiter = node(vm).limiter
+
+    /** Delivers the messages that were sent since the last call. */
+    fun deliver() {
+        val arrived = inbox
+        inbox = mutableListOf()
+        arrived.forEach { it() }
+    }
+
+    /** Sends the messages that are due on the running VMs. */
+    fun poll() {
+        fleet.vms.filter { it.isRunning }.forEach { vm ->
+            val node = node(vm)
+            node.limiter.poll().forEach { send(node, it) }
+        }
+    }
+
+    private fun send(from: Node, message: LimitMessage) = post {
+        val vm = fleet.vms.find { it.name == message.vm && it.isRunning } ?: return@post
+        val to = node(vm)
+        when (message) {
+            is LimitMessage.Borrow -> {
+                val grant = to.owner.borrow(message.name, from.vm.name, message.request.units)
+                post { if (from.vm.isRunning) from.limiter.onGrant(message, grant) }
+            }
+
+            is LimitMessage.Return -> to.owner.giveBack(message.name, message.slice.id, message.slice.unused)
+            is LimitMessage.HandOver -> to.owner.takeOver(message.state)
+        }
+    }
+
+    private fun post(action: () -> Unit) {
+        if (!losesMessage()) inbox += action
+    }
+
+    private fun node(vm: VirtualVm): Node = nodes.getOrPut(vm) { Node(vm) }
+}
