Pass bucket levels on although the shard map has changed again

An owner that released a shard passed its levels on only when it saw exactly the next map; with another change of the map in between, the next owner started empty. Ruled out: the limit per route (names are scoped) and the first map, whose buckets start full. Change: Membership remembers the epoch that its release gives; the levels go to the owner of exactly that epoch, whatever came since.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/lease/Membership.kt
@@ -35,6 +35,8 @@
         lastPoll = clock.now(),
     )
 
+    private val releases = HashMap<Int, Long>()
+
     /** The newest shard map seen. */
     val map: ShardMap get() = state.map
 
@@ -218,9 +220,14 @@
     fun release(moved: Map<Int, Lease>): MembershipAction.WriteMap? {
         if (!isLeaseValid()) return null
         val own = moved.filterKeys { it in ownShards() }
-        return changeMap(map.copy(shards = handOver(map.shards, own, map.epoch + 1)))
+        val action = changeMap(map.copy(shards = handOver(map.shards, own, map.epoch + 1)))
+        if (action != null) own.keys.forEach { releases[it] = action.map.epoch }
+        return action
     }
 
+    /** Epoch of the ownership that this VM's newest release of [shard] gives, or null when it released none. */
+    fun releaseEpoch(shard: Int): Long? = releases[shard]
+
     private val ownJournal: String get() = journalId(self.vm, state.own.incarnation)
 
     private val retryInterval: Duration get() = settings.renewEvery / 4
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/BucketOwner.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/BucketOwner.kt
@@ -31,7 +31,6 @@
 ) {
     private val owned = HashMap<Int, Ownership>()
     private val received = HashMap<Int, ShardLevels>()
-    private var lastMapEpoch = 0L
 
     /** Lends up to [units] of [name] to [borrower]; null when this VM may not act for it. */
     fun borrow(name: String, borrower: String, units: Double): SliceGrant? {
@@ -57,14 +56,13 @@
     fun poll(): List<ShardLevels> {
         val now = clock.now()
         val own = rights.ownShards().toSet()
-        // The state is valid only for the owner that directly follows this one.
-        val isNextMap = rights.mapEpoch == lastMapEpoch + 1
-        lastMapEpoch = rights.mapEpoch
         val lost = owned.keys - own
-        val released = lost.filter { isNextMap && rights.isReleased(it) && rights.owner(it)?.second == rights.mapEpoch }
-        val handedOver = released.map { shard ->
+        // The state is valid only for the owner that directly follows this one. Other changes of the map may have come
+        // since, and the new owner may have replayed its journals already.
+        val handedOver = lost.filter { rights.isOwnRelease(it) }.mapNotNull { shard ->
             val ownership = owned.getValue(shard)
-            ShardLevels(shard, rights.mapEpoch, levels(ownership, now), ownership.isFullAtStart)
+            val epoch = rights.owner(shard)?.second ?: return@mapNotNull null
+            ShardLevels(shard, epoch, levels(ownership, now), ownership.isFullAtStart)
         }
         owned.keys.removeAll(lost)
         own.forEach { ownership(it, now) }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/LimitRights.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/LimitRights.kt
@@ -11,9 +11,6 @@
     private val membership: Membership,
     private val shards: Int,
 ) {
-    /** Epoch of the newest shard map. */
-    val mapEpoch: Long get() = membership.map.epoch
-
     fun shard(name: String): Int = shardOf(name, shards)
 
     /** Owner of [shard] with the epoch of its ownership; null before the first map. */
@@ -23,6 +20,10 @@
     /** Whether the owner before handed [shard] over, so that its slices may still be in use. */
     fun isReleased(shard: Int): Boolean = membership.map.shards.getOrNull(shard)?.isReleased == true
 
+    /** Whether the owner of [shard] is the one that this VM released it to, so that no other owner was in between. */
+    fun isOwnRelease(shard: Int): Boolean =
+        owner(shard) != null && owner(shard)?.second == membership.releaseEpoch(shard)
+
     fun mayAct(shard: Int): Boolean = membership.mayAct(shard)
 
     fun mayUseFallback(shard: Int): Boolean = membership.mayUseFallback(shard)
