Remove what nothing reads and measure rates with one class

Removed the fields; the checksum is computed once; refusals and failures are logged once; DecayingRate serves the dispatcher and the account meter. A deployment that does not ask for strict revocation no longer refuses keyed calls for the age of its contact.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallAnswer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallAnswer.kt
@@ -43,18 +43,18 @@
 
     /** The call has not run and will not, so it does not count against its account's allotment. */
     fun refuse(status: Int, reason: String, retryAfter: Duration? = null) {
+        if (isDone) return
         val previous = call.attributes.previousTurn
         note("refused", "status" to status, "reason" to reason, "retry_after" to retryAfter, "previous" to previous)
         val headers = refusalHeaders(services.names, call.attributes.attemptId, retryAfter)
-        if (!isDone) {
-            services.metrics.refused(reason)
-            call.account?.let { services.meter.refund(it) }
-        }
+        services.metrics.refused(reason)
+        call.account?.let { services.meter.refund(it) }
         finish("refused") { exchange.answer(status, headers, Unpooled.EMPTY_BUFFER) }
     }
 
     /** The call may have run; a stream that was started ends without its last part. */
     fun fail(status: Int, reason: String) {
+        if (isDone) return
         note("failed", "status" to status, "reason" to reason)
         val headers = refusalHeaders(services.names, call.attributes.attemptId, retryAfter = null)
         finish("failed") {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -5,10 +5,10 @@
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
+import io.jasmineford.gateway.measure.DecayingRate
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /**
  * A call that waits for an endpoint.
@@ -29,7 +29,7 @@
     private val clock: MonotonicClock,
 ) {
     private val queues = HashMap<String, WaitQueue<WaitingCall>>()
-    private val rates = HashMap<String, CompletionRate>()
+    private val completions = HashMap<String, Completions>()
     private var isRunning = false
 
     /** Number of waiting calls. */
@@ -40,7 +40,7 @@
         val service = call.placement.service
         val queue = queues.getOrPut(service.name) { WaitQueue { it.ticket } }
         val wait = expectedWait(service, queue.size)
-        val available = call.ticket.expiresAt - clock.now() - rateOf(service).serviceTime
+        val available = call.ticket.expiresAt - clock.now() - completionsOf(service).serviceTime
         if (queue.size > 0 && wait > available) {
             call.onRefused(wait.coerceAtMost(MAX_RETRY_AFTER))
         } else {
@@ -54,7 +54,7 @@
 
     /** An endpoint of [service] finished a call that took [took]. */
     fun completed(service: Service, took: Duration) {
-        rateOf(service).note(clock.now(), took)
+        completionsOf(service).note(took)
         run()
     }
 
@@ -80,11 +80,11 @@
 
     /** Time until a call behind [ahead] others is placed. */
     private fun expectedWait(service: Service, ahead: Int): Duration {
-        val perSecond = rateOf(service).perSecond(clock.now())
+        val perSecond = completionsOf(service).rate.perSecond
         return if (perSecond <= 0) Duration.ZERO else (ahead / perSecond).seconds
     }
 
-    private fun rateOf(service: Service) = rates.getOrPut(service.name) { CompletionRate() }
+    private fun completionsOf(service: Service) = completions.getOrPut(service.name) { Completions(clock) }
 
     private companion object {
         /** No call is answered faster. */
@@ -96,36 +96,23 @@
 }
 
 /** Smoothed rate and duration of a service's calls. */
-internal class CompletionRate {
-    private var count = 0.0
-    private var updatedAt: Duration? = null
+private class Completions(clock: MonotonicClock) {
+    /** Calls that end. */
+    val rate = DecayingRate(clock, RATE_MEMORY)
 
     /** Smoothed time of one call. */
     var serviceTime: Duration = Duration.ZERO
         private set
 
-    /** Takes a call that ended at [now] and took [took]. */
-    fun note(now: Duration, took: Duration) {
-        decay(now)
-        count += 1
+    /** Takes a call that ends now and took [took]. */
+    fun note(took: Duration) {
+        rate.note()
         serviceTime = if (serviceTime == Duration.ZERO) took else serviceTime + (took - serviceTime) * TIME_WEIGHT
     }
 
-    /** Calls a second; 0 while unknown. */
-    fun perSecond(now: Duration): Double {
-        decay(now)
-        return count / MEMORY_SECONDS
-    }
-
-    private fun decay(now: Duration) {
-        val elapsed = updatedAt?.let { (now - it).toDouble(DurationUnit.SECONDS) } ?: 0.0
-        count *= Math.exp(-elapsed / MEMORY_SECONDS)
-        updatedAt = now
-    }
-
     private companion object {
         /** Time over which completions are averaged. */
-        const val MEMORY_SECONDS = 1.0
+        val RATE_MEMORY = 1.seconds
 
         /** Weight of the newest call's time. */
         const val TIME_WEIGHT = 0.1
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/config/Route.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/config/Route.kt
@@ -42,14 +42,11 @@
  * A group of endpoints that run the same software.
  *
  * @property coldRate calls a second that an endpoint bears after its start; 0 when it bears any.
- * @property slots calls that one endpoint runs at once; 0 when each endpoint states its own.
  * @property tokensPerEvent tokens in one stream event; 0 for plain services.
  */
 data class Service(
     val name: String,
-    val maxConnections: Int,
     val coldRate: Double = 0.0,
-    val slots: Int = 0,
     val tokensPerEvent: Int = 0,
 )
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallIntake.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallIntake.kt
@@ -21,6 +21,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
 import java.util.zip.CRC32
+import kotlin.time.Duration
 
 /** Takes callers' requests to the gate and starts those that pass. */
 internal class CallIntake(
@@ -33,7 +34,7 @@
         meter = services.meter,
         activity = services.activity,
         contactAge = view.contact::age,
-        maxContactAge = bounds.revoke * KEY_CONTACT_PART,
+        maxContactAge = if (bounds.isRevokeStrict) bounds.revoke * KEY_CONTACT_PART else Duration.INFINITE,
         isSuspect = services.suspects::isSuspect,
     )
 
@@ -47,9 +48,10 @@
         val config = view.config
         val host = request.headers[HttpHeaderNames.HOST]
         val call = GateCall(host, request.path, attributes.accountKey, attributes.program)
-        when (val verdict = gate.judge(config, call) { fingerprint(request, it) }) {
+        val content = contentOf(request)
+        when (val verdict = gate.judge(config, call) { fingerprint(content, it) }) {
             is GateVerdict.Refused -> refuse(exchange, attributes.attemptId, verdict)
-            is GateVerdict.Admitted -> start(request, exchange, attributes, verdict)
+            is GateVerdict.Admitted -> start(request, exchange, attributes, content, verdict)
         }
     }
 
@@ -57,6 +59,7 @@
         request: CallerRequest,
         exchange: CallerExchange,
         attributes: CallAttributes,
+        content: String,
         verdict: GateVerdict.Admitted,
     ) {
         val service = view.config?.let { serviceOf(verdict.route, attributes, it) }
@@ -70,7 +73,7 @@
             route = verdict.route,
             account = verdict.account,
             service = service,
-            fingerprint = fingerprint(request, verdict.account),
+            fingerprint = fingerprint(content, verdict.account),
             arrivedAt = services.clock.now(),
             arrivedAtMillis = services.wallMillis(),
         )
@@ -89,12 +92,14 @@
         return config.services[chosen.service]
     }
 
-    private fun fingerprint(request: CallerRequest, account: ClientAccount?): String {
+    private fun contentOf(request: CallerRequest): String {
         val sum = CRC32()
         sum.update(request.body.nioBuffer())
-        return "${account?.name}|${request.method}|${request.uri}|${sum.value}"
+        return "${request.method}|${request.uri}|${sum.value}"
     }
 
+    private fun fingerprint(content: String, account: ClientAccount?) = "${account?.name}|$content"
+
     private fun refuse(exchange: CallerExchange, id: String?, refusal: GateVerdict.Refused) {
         services.metrics.refused(refusal.reason.name)
         services.log.event(
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
@@ -24,7 +24,6 @@
     private val node: NodeRuntime,
     private val stateOf: () -> Heartbeat,
     private val onHeard: (Peer) -> Unit,
-    private val onMembers: () -> Unit = {},
 ) {
     /** The group of history daemons. */
     val register = GroupRegister(node)
@@ -106,7 +105,6 @@
             isRegistered = false
             register()
         }
-        onMembers()
         tell()
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountDemand.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountDemand.kt
@@ -1,16 +1,18 @@
 package io.jasmineford.gateway.limit
 
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.gateway.measure.DecayingRate
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Calls a second that one account offers, here and at the other daemons. */
 internal class AccountDemand(private val clock: MonotonicClock) {
     private val heard = HashMap<String, Pair<Double, Duration>>()
-    private var arrivals = 0.0
+    private val arrivals = DecayingRate(clock, MEMORY)
 
     /** Calls a second at this daemon. */
-    val own: Double get() = arrivals / MEMORY_SECONDS
+    val own: Double get() = arrivals.perSecond
 
     /** Calls a second at the daemons that were heard lately. */
     fun others(): Double {
@@ -19,14 +21,7 @@
     }
 
     /** Counts a call. */
-    fun note() {
-        arrivals += 1
-    }
-
-    /** Lets [seconds] pass. */
-    fun decay(seconds: Double) {
-        arrivals *= Math.exp(-seconds / MEMORY_SECONDS)
-    }
+    fun note() = arrivals.note()
 
     /** Daemon [from] is offered [perSecond] calls. */
     fun hear(from: String, perSecond: Double) {
@@ -35,7 +30,7 @@
 
     private companion object {
         /** Time over which demand is averaged. */
-        const val MEMORY_SECONDS = 1.0
+        val MEMORY = 1.seconds
 
         /** Demand of a daemon that was not heard for longer is forgotten. */
         val VALID = 1500.milliseconds
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountMeter.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountMeter.kt
@@ -171,7 +171,6 @@
             val seconds = (now - updatedAt).toDouble(DurationUnit.SECONDS)
             if (seconds <= 0) return
             updatedAt = now
-            demand.decay(seconds)
             val silentPart = silentDaemons().toDouble() / daemonCount().coerceAtLeast(1)
             val rate = account.ratePerSecond * (1 - silentPart)
             level = (level + seconds * rate).coerceAtMost(capacity)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -7,14 +7,17 @@
 /** Role of a daemon. */
 enum class NodeRole { ENTRY, HISTORY }
 
-/** Time bounds that the deployment promises its users. */
+/**
+ * Bounds that the deployment promises its users.
+ *
+ * @property grace time from the request to stop to the kill.
+ * @property revoke time after which a withdrawn key is refused.
+ * @property isRevokeStrict [revoke] holds for daemons without contact to the store as well.
+ */
 data class PromisedBounds(
-    val contact: Duration,
-    val drain: Duration,
     val grace: Duration,
     val revoke: Duration,
     val isRevokeStrict: Boolean,
-    val maxAddressTtl: Duration,
     val allotments: AllotmentTolerance,
 )
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
@@ -37,9 +37,7 @@
         notExecuted = "Not-Executed",
         signature = "Signature",
         tokenUsage = "Tokens",
-        promptPrefix = "Prefix",
         program = "Program",
-        session = "Session",
         programDeadlineMillis = "Program-Deadline",
         tokenBudget = "Budget",
         previousTurn = "Previous",
@@ -102,7 +100,7 @@
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders().add("Attempt", "a1")
         val request = CallerRequest(HttpMethod.GET, "/p/", headers, Unpooled.EMPTY_BUFFER)
         val route = Route("r", "h", "/p/", RouteKind.SAFE, 1.seconds, 1.seconds, 0, emptyList())
-        val service = Service("models", maxConnections = 1)
+        val service = Service("models")
         return AdmittedCall(request, checkNotNull(names.read(request)), route, null, service, "f", clock.now(), 0)
     }
 
