Recognise slow and failing endpoints by their answers

Cause: the relative time of an answer was always given as 1, so a slow endpoint got its full part, and one success in between ended the avoidance of an endpoint that fails half of its calls.

UsualTimes compares an answer, or a stream's time for each event, with the usual one of its route. Both opinions fade in 3 s without calls, so that an endpoint that has recovered is found again.

Tests: a slow third gets under a third of its usual part while it is slow and its part again afterwards; an endpoint that fails every other call gets under 15 of 300.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.call
 
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.gateway.endpoint.UsualTimes
 import io.jasmineford.gateway.limit.AccountMeter
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.log.EventLog
@@ -21,4 +22,5 @@
     val activity: ProgramActivity,
     val meter: AccountMeter,
     val metrics: CallMetrics,
+    val usualTimes: UsualTimes,
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -173,7 +173,7 @@
                     again("endpoint failed")
                 }
                 else -> {
-                    state.noteSuccess(relativeTime = 1.0)
+                    state.noteSuccess(services.usualTimes.relative(route.name, took / turn.events.coerceAtLeast(1)))
                     services.suspects.noteAnswered(call.fingerprint)
                     ended(wasRun = true)
                     services.dispatcher.completed(call.service, took)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -8,6 +8,7 @@
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointChooser
+import io.jasmineford.gateway.endpoint.UsualTimes
 import io.jasmineford.gateway.http.CallerServer
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
@@ -51,6 +52,7 @@
         activity = state.activity,
         meter = state.meter,
         metrics = metrics,
+        usualTimes = UsualTimes(),
     )
     private val server: CallerServer = CallerServer(
         group = node.group,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -38,15 +38,13 @@
         return ranked.firstOrNull { mayTakeCold(it, request.service) }
     }
 
-    /** Whether any endpoint of [service] exists that calls may wait for. */
-    fun hasAny(service: Service): Boolean = directory.usable(service.name).isNotEmpty()
-
     private fun hasRoom(state: EndpointState): Boolean = state.load < FULL_LOAD
 
     private fun score(state: EndpointState, request: PlacementRequest): Double {
         val distance = if (state.endpoint.zone == zone) 0.0 else OTHER_ZONE_COST
         val affinity = request.affinity?.let { affinityCost(it, state.endpoint.id) } ?: 0.0
-        return state.load * state.slowness + (state.slowness - 1) * SLOWNESS_COST + distance + affinity
+        val quality = (state.slowness - 1) * SLOWNESS_COST + state.failureRate * FAILURE_COST
+        return state.load * state.slowness + quality + distance + affinity
     }
 
     /** Rendezvous hashing: every daemon prefers the same endpoint for the same value, without any message. */
@@ -75,6 +73,9 @@
         /** Weight of an endpoint's slowness while it is empty. */
         const val SLOWNESS_COST = 0.3
 
+        /** Load difference that a call accepts to avoid an endpoint that fails every call. */
+        const val FAILURE_COST = 1.5
+
         /** Part of the cold rate that is used: the bound lies above the rate, the rest covers uneven arrivals. */
         const val COLD_PART = 0.9
         const val HASH_FACTOR = -0x61c88647
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.endpoint
 
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.gateway.measure.DecayingLevel
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -25,9 +26,14 @@
     var avoidUntil: Duration = Duration.ZERO
         private set
 
-    /** Smoothed time of its answers relative to what the call's kind takes elsewhere; 1 is usual. */
-    var slowness: Double = 1.0
-        private set
+    private val relativeTimes = DecayingLevel(clock, rest = 1.0, SLOWNESS_WEIGHT, OPINION_MEMORY)
+    private val failureShare = DecayingLevel(clock, rest = 0.0, FAILURE_WEIGHT, OPINION_MEMORY)
+
+    /** Smoothed time of its answers relative to what the call's route takes elsewhere; 1 is usual. */
+    val slowness: Double get() = relativeTimes.value
+
+    /** Smoothed part of its calls that fail, 0 to 1; an endpoint whose health checks are good may fail many. */
+    val failureRate: Double get() = failureShare.value
 
     /** Calls sent while cold in the current second. */
     internal val coldMeter = ColdMeter()
@@ -40,13 +46,15 @@
     fun noteFailure() {
         failures = (failures + 1).coerceAtMost(MAX_FAILURES)
         avoidUntil = clock.now() + AVOID_STEP * (1 shl failures)
+        failureShare.note(1.0)
     }
 
     /** Ends the avoidance and takes the answer's time, relative to its kind, into [slowness]. */
     fun noteSuccess(relativeTime: Double) {
         failures = 0
         avoidUntil = Duration.ZERO
-        slowness += (relativeTime.coerceIn(MIN_RELATIVE, MAX_RELATIVE) - slowness) * SLOWNESS_WEIGHT
+        failureShare.note(0.0)
+        relativeTimes.note(relativeTime.coerceIn(MIN_RELATIVE, MAX_RELATIVE))
     }
 
     private companion object {
@@ -59,6 +67,12 @@
         /** Weight of the newest answer: about ten answers decide. */
         const val SLOWNESS_WEIGHT = 0.1
 
+        /** Weight of the newest outcome: a few failures show, single ones pass. */
+        const val FAILURE_WEIGHT = 0.15
+
+        /** Time in which an opinion fades without calls: endpoints are slow or fail for some seconds. */
+        val OPINION_MEMORY = 3.seconds
+
         /** Limits of one answer's influence. */
         const val MIN_RELATIVE = 0.2
         const val MAX_RELATIVE = 8.0
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/EndpointChooserTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/EndpointChooserTest.kt
@@ -7,13 +7,14 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
 class EndpointChooserTest {
     private val clock = VirtualClock()
     private val directory = EndpointDirectory(clock)
     private val chooser = EndpointChooser(directory, zone = "a", clock = clock) { 6 }
-    private val service = Service("models", maxConnections = 100, coldRate = 52.0)
+    private val service = Service("models", coldRate = 52.0)
 
     private fun choose(affinity: String? = null, tried: Set<String> = emptySet()) =
         chooser.choose(PlacementRequest(service, affinity, tried))
@@ -81,4 +82,50 @@
             assertEquals(other.choose(request)?.endpoint?.id, chooser.choose(request)?.endpoint?.id)
         }
     }
+
+    @Test
+    fun `a slow third of the endpoints gets less while it is slow and its part afterwards`() {
+        directory.replace(List(6) { endpoint("e$it") })
+        val times = UsualTimes()
+        val placed = HashMap<String, Int>()
+
+        fun play(slowFactor: Int) {
+            placed.clear()
+            repeat(300) { index ->
+                clock.advance(0.02.seconds)
+                val state = assertNotNull(choose(affinity = "program-$index"))
+                val name = state.endpoint.id
+                placed.merge(name, 1, Int::plus)
+                val isSlow = name == "e0" || name == "e1"
+                state.noteSuccess(times.relative("drafts", 0.02.seconds * (if (isSlow) slowFactor else 1)))
+            }
+        }
+
+        play(slowFactor = 1)
+        val usual = placed.getValue("e0") + placed.getValue("e1")
+        play(slowFactor = 6)
+        val slow = (placed["e0"] ?: 0) + (placed["e1"] ?: 0)
+        assertTrue(slow * 3 < usual, "usually $usual, while slow $slow")
+        play(slowFactor = 1)
+        play(slowFactor = 1)
+        val after = (placed["e0"] ?: 0) + (placed["e1"] ?: 0)
+        assertTrue(after * 2 > usual, "usually $usual, afterwards $after")
+    }
+
+    @Test
+    fun `an endpoint that fails half of its calls is left while others have room`() {
+        directory.replace(List(3) { endpoint("e$it") })
+        var failed = 0
+        repeat(300) { index ->
+            clock.advance(0.02.seconds)
+            val state = assertNotNull(choose(affinity = "program-$index"))
+            if (state.endpoint.id == "e1" && index % 2 == 0) {
+                failed++
+                state.noteFailure()
+            } else {
+                state.noteSuccess(relativeTime = 1.0)
+            }
+        }
+        assertTrue(failed < 15, "failed $failed of 300 calls")
+    }
 }
