--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/CallRouter.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/CallRouter.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.daemon.call
 
+import com.github.michaelbull.result.getOrElse
 import io.jasmineford.core.call.Outcome
 import io.jasmineford.core.call.Reason
 import io.jasmineford.core.call.Refusal
@@ -22,7 +23,6 @@
 import kotlinx.coroutines.flow.emitAll
 import kotlinx.coroutines.flow.flow
 import kotlinx.coroutines.withContext
-import kotlinx.serialization.SerializationException
 import kotlin.time.Duration.Companion.milliseconds
 
 /** What a call asks for. */
@@ -147,7 +147,7 @@
     private fun resolve(call: Call): Resolved {
         val path = call.path.substringBefore('?')
         val isChat = path == CHAT_PATH
-        val chat = if (isChat) parseChat(call) ?: return refused(Reason.BAD_REQUEST, "unreadable chat request") else null
+        val chat = if (isChat) readChatRequest(call.body).getOrElse { return refused(Reason.BAD_REQUEST, it) } else null
         val parts = path.removePrefix(SERVICE_PREFIX).split('/', limit = 2)
         val name = chat?.model ?: parts.first()
         val route = configuration.current.route(call.account.organisation, name)
@@ -179,12 +179,6 @@
         }
     }
 
-    private fun parseChat(call: Call): ChatRequest? = try {
-        chatJson.decodeFromString<ChatRequest>(call.body.decodeToString())
-    } catch (_: SerializationException) {
-        null
-    }
-
     private fun refused(reason: Reason, detail: String) = Resolved.Refused(Refusal(reason, detail))
 
     private sealed interface Resolved {
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ChatMessages.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/call/ChatMessages.kt
@@ -1,8 +1,14 @@
 package io.jasmineford.daemon.call
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import io.jasmineford.core.program.Message
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.MissingFieldException
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /** Request of the chat completions API, as far as the scheduler reads it. */
@@ -50,3 +56,13 @@
     ignoreUnknownKeys = true
     explicitNulls = false
 }
+
+/** Reads a chat request, or says what is wrong with it without repeating any of its text, which may hold a key. */
+@OptIn(ExperimentalSerializationApi::class) // The names of missing fields are not available otherwise.
+internal fun readChatRequest(body: ByteArray): Result<ChatRequest, String> = try {
+    Ok(chatJson.decodeFromString<ChatRequest>(body.decodeToString()))
+} catch (e: MissingFieldException) {
+    Err("expected a chat request with ${e.missingFields.joinToString()}, actual one without")
+} catch (_: SerializationException) {
+    Err("unreadable chat request")
+}
