Grant one of the turns that start together when the budget holds one

A reservation that the budget would hold without turns still under way is given back and tried again up to three times after random pauses. A granted reservation is now settled on every way out of a call; one of a turn whose history could not be read used to stay for six seconds.

The log line of a refusal at the door names path, program and standing.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallGate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallGate.kt
@@ -33,6 +33,7 @@
         val reason: GateReason,
         val retryAfter: Duration? = null,
         val account: ClientAccount? = null,
+        val standing: ProgramStanding? = null,
     ) : GateVerdict
 }
 
@@ -95,7 +96,13 @@
         return when (val allotment = account?.let { meter.admit(it, standing) } ?: Allotment.Admitted) {
             is Allotment.Admitted -> GateVerdict.Admitted(route, account)
             is Allotment.Exceeded ->
-                GateVerdict.Refused(TOO_MANY_REQUESTS, GateReason.OVER_ALLOTMENT, allotment.retryAfter, account)
+                GateVerdict.Refused(
+                    status = TOO_MANY_REQUESTS,
+                    reason = GateReason.OVER_ALLOTMENT,
+                    retryAfter = allotment.retryAfter,
+                    account = account,
+                    standing = standing,
+                )
         }
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnKeeper.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnKeeper.kt
@@ -1,11 +1,11 @@
 package io.jasmineford.gateway.call
 
-import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.turn.ChainLookup
 import io.jasmineford.gateway.turn.HistoryQuorum
 import io.jasmineford.gateway.turn.ProgramKey
 import io.jasmineford.gateway.turn.Reservation
 import io.jasmineford.gateway.turn.TokenEntry
+import io.jasmineford.gateway.turn.TokenReserver
 import io.jasmineford.gateway.turn.TurnRecord
 
 /** Whether a turn may run, and what precedes it. */
@@ -23,43 +23,41 @@
     data object Unknown : TurnStart
 }
 
+/**
+ * Outcome of the beginning of a turn.
+ *
+ * @property held the granted reservation, to be settled whatever [start] is; null when there is none.
+ */
+class BegunTurn(val start: TurnStart, val held: TokenEntry?)
+
 /** Begins and ends turns of programs at the history daemons, and remembers recent turns. */
 class TurnKeeper(
     private val quorum: HistoryQuorum,
-    private val log: EventLog,
+    private val tokens: TokenReserver,
 ) {
     private val recent = object : LinkedHashMap<String, TurnRecord>(RECENT_TURNS, LOAD_FACTOR, true) {
         override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, TurnRecord>) = size > RECENT_TURNS
     }
 
-    /** Reads the history that [previous] names and reserves [tokens] against [budget], where the call has them. */
-    fun begin(account: String, previous: String?, tokens: TokenEntry?, budget: Long?, onDone: (TurnStart) -> Unit) {
-        val join = TurnJoin(tokens != null, onDone)
+    /** Reads the history that [previous] names and reserves [entry] against [budget], where the call has them. */
+    fun begin(account: String, previous: String?, entry: TokenEntry?, budget: Long?, onDone: (BegunTurn) -> Unit) {
+        val join = TurnJoin(entry != null, onDone)
         if (previous == null) {
             join.chain = ChainLookup.Found(emptyList())
         } else {
             chain(account, previous) { join.chain = it }
         }
-        if (tokens != null && budget != null) {
-            quorum.reserve(tokens, budget) { reservation ->
-                if (reservation != Reservation.Granted) {
-                    log.event("tokens-refused", "id" to tokens.attempt, "outcome" to reservation, "budget" to budget)
-                    release(tokens)
-                }
+        if (entry != null && budget != null) {
+            tokens.reserve(entry, budget) { reservation, last ->
+                join.held = last.takeIf { reservation == Reservation.Granted }
                 join.reservation = reservation
             }
         }
         join.check()
     }
 
-    /** Gives the reservation of a turn back that has not run. */
-    fun release(tokens: TokenEntry) = settle(tokens, used = 0)
-
     /** Replaces the reservation of a turn by the [used] tokens. */
-    fun settle(tokens: TokenEntry, used: Int) =
-        quorum.finish(tokens.copy(tokens = used, isSettled = true), turn = null) { isStored ->
-            if (!isStored) log.event("tokens-not-settled", "attempt" to tokens.attempt, "used" to used)
-        }
+    fun settle(entry: TokenEntry, used: Int) = tokens.settle(entry, used)
 
     /** Stores the end of a turn; [onDone] tells whether it will outlast the tolerated failures. */
     fun finish(tokens: TokenEntry?, used: Int, turn: TurnRecord, onDone: (Boolean) -> Unit) {
@@ -97,7 +95,8 @@
     }
 
     /** Waits for both the history and the reservation. */
-    private class TurnJoin(private val needsReservation: Boolean, private val onDone: (TurnStart) -> Unit) {
+    private class TurnJoin(private val needsReservation: Boolean, private val onDone: (BegunTurn) -> Unit) {
+        var held: TokenEntry? = null
         var chain: ChainLookup? = null
             set(value) {
                 field = value
@@ -112,18 +111,17 @@
 
         fun check() {
             val lookup = chain
-            val held = reservation
-            val isWaiting = lookup == null || (needsReservation && held == null)
+            val tokens = reservation
+            val isWaiting = lookup == null || (needsReservation && tokens == null)
             if (isDone || isWaiting) return
             isDone = true
-            onDone(
-                when {
-                    held is Reservation.BudgetSpent -> TurnStart.BudgetSpent
-                    held is Reservation.Unknown || lookup is ChainLookup.Unknown -> TurnStart.Unknown
-                    lookup is ChainLookup.NoSuchTurn -> TurnStart.NoSuchTurn
-                    else -> TurnStart.Ready((lookup as ChainLookup.Found).turns)
-                },
-            )
+            val start = when {
+                tokens is Reservation.BudgetSpent -> TurnStart.BudgetSpent
+                tokens is Reservation.Unknown || lookup is ChainLookup.Unknown -> TurnStart.Unknown
+                lookup is ChainLookup.NoSuchTurn -> TurnStart.NoSuchTurn
+                else -> TurnStart.Ready((lookup as ChainLookup.Found).turns)
+            }
+            onDone(BegunTurn(start, held))
         }
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
@@ -23,7 +23,7 @@
         } else {
             null
         }
-    private var isHeld = false
+    private var held: TokenEntry? = null
     private val output = ByteArrayOutputStream()
 
     /** Whole events handed to the caller. */
@@ -39,9 +39,9 @@
 
     /** Reads what precedes the turn and reserves its tokens. */
     fun begin(onDone: (TurnStart) -> Unit) =
-        turns.begin(call.accountName, previous, tokens, call.attributes.tokenBudget) { start ->
-            isHeld = tokens != null && (start is TurnStart.Ready || start is TurnStart.NoSuchTurn)
-            onDone(start)
+        turns.begin(call.accountName, previous, tokens, call.attributes.tokenBudget) { begun ->
+            held = begun.held
+            onDone(begun.start)
         }
 
     /** Body of a turn that continues [earlier] ones: their inputs and outputs in order, then the new input. */
@@ -63,8 +63,8 @@
 
     /** Replaces the reservation by the tokens that were handed out. */
     fun settle() {
-        if (isHeld && tokens != null) turns.settle(tokens, usedTokens())
-        isHeld = false
+        held?.let { turns.settle(it, usedTokens()) }
+        held = null
     }
 
     /**
@@ -74,8 +74,8 @@
     fun store(services: CallServices, isAbandoned: () -> Boolean, onDone: (Boolean) -> Unit) {
         val clock = services.clock
         val startedAt = clock.now()
-        turns.finish(tokens, usedTokens(), record()) { isStored ->
-            if (isStored) isHeld = false
+        turns.finish(held, usedTokens(), record()) { isStored ->
+            if (isStored) held = null
             when {
                 isAbandoned() -> Unit
                 isStored || clock.now() >= call.expiresAt -> onDone(isStored)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallIntake.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallIntake.kt
@@ -41,8 +41,7 @@
     override fun handle(request: CallerRequest, exchange: CallerExchange) {
         val attributes = names.read(request)
         if (attributes == null) {
-            val id = request.headers[names.attemptId]
-            refuse(exchange, id, GateVerdict.Refused(BAD_REQUEST, GateReason.BAD_HEADERS))
+            refuse(request, exchange, GateVerdict.Refused(BAD_REQUEST, GateReason.BAD_HEADERS))
             return
         }
         val config = view.config
@@ -50,7 +49,7 @@
         val call = GateCall(host, request.path, attributes.accountKey, attributes.program)
         val content = contentOf(request)
         when (val verdict = gate.judge(config, call) { fingerprint(content, it) }) {
-            is GateVerdict.Refused -> refuse(exchange, attributes.attemptId, verdict)
+            is GateVerdict.Refused -> refuse(request, exchange, verdict)
             is GateVerdict.Admitted -> start(request, exchange, attributes, content, verdict)
         }
     }
@@ -64,7 +63,7 @@
     ) {
         val service = view.config?.let { serviceOf(verdict.route, attributes, it) }
         if (service == null) {
-            refuse(exchange, attributes.attemptId, GateVerdict.Refused(UNAVAILABLE, GateReason.NO_SERVICE))
+            refuse(request, exchange, GateVerdict.Refused(UNAVAILABLE, GateReason.NO_SERVICE))
             return
         }
         val call = AdmittedCall(
@@ -100,7 +99,8 @@
 
     private fun fingerprint(content: String, account: ClientAccount?) = "${account?.name}|$content"
 
-    private fun refuse(exchange: CallerExchange, id: String?, refusal: GateVerdict.Refused) {
+    private fun refuse(request: CallerRequest, exchange: CallerExchange, refusal: GateVerdict.Refused) {
+        val id = request.headers[names.attemptId]
         services.metrics.refused(refusal.reason.name)
         services.log.event(
             "call-refused",
@@ -110,6 +110,10 @@
             "version" to view.config?.version,
             "contact_ms" to view.contact.age().inWholeMilliseconds,
             "account" to refusal.account?.let { "${it.name}/${it.ratePerSecond}/${it.burst}" },
+            "path" to request.path,
+            "program" to request.headers[names.program],
+            "standing" to refusal.standing,
+            "retry_after" to refusal.retryAfter,
         )
         exchange.answer(refusal.status, refusalHeaders(names, id, refusal.retryAfter), Unpooled.EMPTY_BUFFER)
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -15,6 +15,7 @@
 import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.peer.PeerTable
+import io.jasmineford.gateway.turn.TokenReserver
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -39,13 +40,14 @@
         clock = node.clock,
     )
     private val sender = EndpointSender(node.group, node.clock, names, state.directory::isUsable)
+    private val quorum = HistoryClients(node) { membership }.quorum
     private val services = CallServices(
         clock = node.clock,
         wallMillis = node.wallMillis,
         scheduler = node.scheduler,
         names = names,
         dispatcher = dispatcher,
-        turns = TurnKeeper(HistoryClients(node) { membership }.quorum, node.log),
+        turns = TurnKeeper(quorum, TokenReserver(quorum, node.scheduler, node.log)),
         suspects = state.suspects,
         sender = sender,
         log = node.log,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
@@ -9,8 +9,13 @@
     /** The turn may run. */
     data object Granted : Reservation
 
-    /** The budget does not hold the turn; [total] includes it. */
-    data class BudgetSpent(val total: Long) : Reservation
+    /**
+     * The budget does not hold the turn.
+     *
+     * @property total tokens spent and reserved, this turn included.
+     * @property isContested the budget would hold it without the reservations of turns that have not ended.
+     */
+    data class BudgetSpent(val total: Long, val isContested: Boolean) : Reservation
 
     /** Too few history daemons answered to tell. */
     data object Unknown : Reservation
@@ -94,7 +99,7 @@
                 when {
                     !hasMajority -> Reservation.Unknown
                     total <= budget -> Reservation.Granted
-                    else -> Reservation.BudgetSpent(total)
+                    else -> Reservation.BudgetSpent(total, isContested = account.settled + entry.tokens <= budget)
                 },
             )
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/TokenAccount.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/TokenAccount.kt
@@ -25,6 +25,9 @@
         .filter { !it.isSettled && nowMillis - it.reservedAtMillis > ABANDONED_AFTER.inWholeMilliseconds }
         .sumOf { it.tokens.toLong() }
 
+    /** Tokens of the turns that have ended. */
+    val settled: Long get() = attempts.values.filter { it.isSettled }.sumOf { it.tokens.toLong() }
+
     /** Applies [entry]; returns false when it says nothing new. */
     fun apply(entry: TokenEntry): Boolean {
         val known = attempts[entry.attempt]
