Charge what other daemons tell of an account that had no call here yet

Cause: a report on an account without a bucket was marked as heard and then dropped, so the first call of the account found a bucket that was fuller by what the others had admitted. Ruled out: credit saved up by each daemon (a cap on it changed nothing).

The bucket is made when a report names a known account; reports before the configuration is there stay uncharged and count as first ones later.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -54,7 +54,7 @@
     fun hear(peer: Peer, view: StoreView) {
         val heartbeat = peer.heartbeat ?: return
         val uses = heartbeat.uses.map { AllotmentUse(it.account, it.admitted, it.offered) }
-        meter.hear(heartbeat.from, heartbeat.incarnation, uses)
+        meter.hear(heartbeat.from, heartbeat.incarnation, uses) { view.config?.accounts?.get(it) }
         suspects.hear(heartbeat.crashes)
         activity.hear(heartbeat.from, heartbeat.programs)
         // A peer with a newer version proves that this daemon's version is not the store's.
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountMeter.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountMeter.kt
@@ -72,12 +72,17 @@
         buckets[account.name]?.refund()
     }
 
-    /** Applies what daemon [from], in its [incarnation], tells of its use. */
-    fun hear(from: String, incarnation: Long, uses: List<AllotmentUse>) {
+    /**
+     * Applies what daemon [from], in its [incarnation], tells of its use, also of accounts that had no call here yet.
+     *
+     * @param accountOf the account of a name; uses of unknown accounts are charged once they are known.
+     */
+    fun hear(from: String, incarnation: Long, uses: List<AllotmentUse>, accountOf: (String) -> ClientAccount?) {
         val counts = heard.getOrPut("$from/$incarnation") { HashMap() }
         uses.forEach { use ->
+            val account = accountOf(use.account)?.takeIf { it.ratePerSecond > 0 } ?: return@forEach
             val before = counts.put(use.account, use.admitted)
-            buckets[use.account]?.spendElsewhere(from, use, use.admitted - (before ?: firstCount(use)))
+            bucketOf(account).spendElsewhere(from, use, use.admitted - (before ?: firstCount(use)))
         }
     }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/limit/AccountMeterTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/limit/AccountMeterTest.kt
@@ -2,10 +2,6 @@
 
 import io.jasmineford.core.time.VirtualClock
 import io.jasmineford.gateway.account
-import io.kotest.property.Arb
-import io.kotest.property.arbitrary.int
-import io.kotest.property.checkAll
-import kotlinx.coroutines.test.runTest
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -57,24 +53,24 @@
     }
 
     @Test
-    fun `an account at seven times its rate at six daemons stays within what is tolerated`() = runTest {
-        checkAll(iterations = 20, Arb.int(0..1_000_000)) { seed ->
+    fun `an account at seven times its rate at six daemons stays within what is tolerated`() {
+        SEEDS.forEach { seed ->
             val most = mostInWindow(seed, daemons = 6, offeredPerSecond = 7 * 35.0, isCutOff = false)
             assertTrue(most <= tolerated(account(35.0, 35.0)), "seed=$seed most=$most")
         }
     }
 
     @Test
-    fun `a daemon that is cut off from the others keeps the sum within what is tolerated`() = runTest {
-        checkAll(iterations = 20, Arb.int(0..1_000_000)) { seed ->
+    fun `a daemon that is cut off from the others keeps the sum within what is tolerated`() {
+        SEEDS.forEach { seed ->
             val most = mostInWindow(seed, daemons = 6, offeredPerSecond = 7 * 35.0, isCutOff = true)
             assertTrue(most <= tolerated(account(35.0, 35.0)), "seed=$seed most=$most")
         }
     }
 
     @Test
-    fun `an account below its rate is never refused although its calls spread over all daemons`() = runTest {
-        checkAll(iterations = 20, Arb.int(0..1_000_000)) { seed ->
+    fun `an account below its rate is never refused although its calls spread over all daemons`() {
+        SEEDS.forEach { seed ->
             val refused = play(seed, daemons = 6, offeredPerSecond = 0.7 * 35.0, isCutOff = false).second
             assertEquals(0, refused, "seed=$seed")
         }
@@ -125,12 +121,12 @@
         if (!isReached(from)) return
         val uses = meters[from].uses()
         meters[from].markTold()
-        meters.forEachIndexed { to, hearer -> if (to != from && isReached(to)) hearer.hear("daemon-$from", 1, uses) }
+        meters.forEachIndexed { to, hearer -> if (to != from && isReached(to)) hearer.hear("daemon-$from", 1, uses) { CLUB } }
     }
 
     @Test
-    fun `a daemon that restarts while an account is over its rate adds less than is tolerated`() = runTest {
-        checkAll(iterations = 20, Arb.int(0..1_000_000)) { seed ->
+    fun `a daemon that restarts while an account is over its rate adds less than is tolerated`() {
+        SEEDS.forEach { seed ->
             val random = Random(seed)
             val start = clock.now()
             val club = account(35.0, 35.0)
@@ -154,7 +150,7 @@
                         toldAt[from] = clock.now()
                         val uses = teller.uses()
                         meters.forEachIndexed { to, hearer ->
-                            if (to != from) hearer.hear("daemon-$from", incarnations[from], uses)
+                            if (to != from) hearer.hear("daemon-$from", incarnations[from], uses) { CLUB }
                         }
                     }
                 }
@@ -167,6 +163,14 @@
     }
 
     private companion object {
+        val CLUB = account(35.0, 35.0)
+
+        /** A daemon dropped what it heard of an account before its own first call of it. */
+        val FAILED_ONCE = listOf(1057, 4098, 4828)
+
+        /** Seeds of random schedules. */
+        val SEEDS = (0 until 60) + FAILED_ONCE
+
         /** Time after which the buckets of daemons that have just started are full. */
         val FILLED_AFTER = 10.seconds
     }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryQuorumTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryQuorumTest.kt
@@ -1,10 +1,6 @@
 package io.jasmineford.gateway.turn
 
 import io.jasmineford.gateway.peer.Member
-import io.kotest.property.Arb
-import io.kotest.property.arbitrary.int
-import io.kotest.property.checkAll
-import kotlinx.coroutines.test.runTest
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -176,8 +172,8 @@
     }
 
     @Test
-    fun `concurrent turns never spend more than the budget and one turn over any order of messages`() = runTest {
-        checkAll(iterations = 200, Arb.int(0..1_000_000)) { seed ->
+    fun `concurrent turns never spend more than the budget and one turn over any order of messages`() {
+        repeat(SCHEDULES) { seed ->
             val random = Random(seed)
             names.forEach { states[it] = HistoryState() }
             down.clear()
@@ -206,6 +202,8 @@
     }
 
     private companion object {
+        /** Random orders of messages in each run. */
+        const val SCHEDULES = 1000
         const val TURN_TOKENS = 100
         const val BUDGET = 400L
     }
