Explain a request from the logs of many daemons

explain request ID LOGS... joins the lines of a call, or of all calls of a program, and names the cause with the lines of other calls or beliefs that it rests on; explain failures LOGS... counts refused and failed calls by cause. Also as JSON. Log files are arguments, not an option, so that shell patterns work.

--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
@@ -16,7 +16,9 @@
 import io.jasmineford.cli.operator.ZoneDirectionCommand
 import io.jasmineford.cli.quickstart.QuickstartCommand
 import io.jasmineford.cli.report.ExplainCommand
+import io.jasmineford.cli.report.ExplainFailuresCommand
 import io.jasmineford.cli.report.ExplainProgramCommand
+import io.jasmineford.cli.report.ExplainRequestCommand
 import io.jasmineford.cli.report.reportCommand
 
 /** The whole command line. */
@@ -25,7 +27,7 @@
     EntryCommand(),
     benchCommand(),
     reportCommand(),
-    ExplainCommand().subcommands(ExplainProgramCommand()),
+    ExplainCommand().subcommands(ExplainProgramCommand(), ExplainRequestCommand(), ExplainFailuresCommand()),
     StandInCommand().subcommands(PlatformCommand(), EngineCommand(), ServiceCommand()),
     ReleaseCommand().subcommands(ReleaseCheckCommand(), ReleasePublishCommand()),
     ZoneCommand().subcommands(Direction.entries.map { ZoneDirectionCommand(it) }),
--- /dev/null
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/report/ExplainLogsCommands.kt
@@ -0,0 +1,81 @@
+package io.jasmineford.cli.report
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.arguments.argument
+import com.github.ajalt.clikt.parameters.arguments.multiple
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.file
+import io.jasmineford.cli.EXIT_BAD_INPUT
+import io.jasmineford.report.log.CallStory
+import io.jasmineford.report.log.DaemonLogs
+import io.jasmineford.report.log.LogLine
+import io.jasmineford.report.log.parseLogLine
+import kotlinx.serialization.json.Json
+import java.io.File
+import java.time.Instant
+
+/** Joins the log lines of many daemons about one call, or about all calls of a program, and names the cause. */
+internal class ExplainRequestCommand : CliktCommand(name = "request") {
+    private val id by argument("ID", help = "id of a request, or name of a program")
+    private val files by argument("LOGS", help = "log files of daemons")
+        .file(mustExist = true, canBeDir = false)
+        .multiple(required = true)
+    private val format by option("--format").choice("text", "json").default("text")
+
+    override fun help(context: Context) = "What the daemons' logs tell of a request, and why it ended as it did."
+
+    override fun run() {
+        val logs = readLogs(files)
+        val stories = listOfNotNull(logs.storyOf(id)).ifEmpty { logs.callsOfProgram(id).mapNotNull(logs::storyOf) }
+        if (stories.isEmpty()) {
+            throw CliktError("expected log lines of $id, actual none in ${files.size} files", statusCode = EXIT_BAD_INPUT)
+        }
+        if (format == "json") echo(Json.encodeToString(stories)) else stories.forEach(::show)
+    }
+
+    private fun show(story: CallStory) {
+        echo("${story.id} ${story.cause.end.name.lowercase()}: ${story.cause.text ?: NO_CAUSE}")
+        story.lines.forEach { echo("  ${text(it)}") }
+        if (story.cause.evidence.isNotEmpty()) echo("  because of")
+        story.cause.evidence.forEach { echo("    ${text(it)}") }
+    }
+
+    private fun text(line: LogLine): String {
+        val fields = line.fields.filterKeys { it != "id" }.map { "${it.key}=${it.value}" }.joinToString(" ")
+        return "${Instant.ofEpochMilli(line.atMillis)} ${line.daemon} ${line.event} $fields"
+    }
+}
+
+/** Counts the refused and failed calls by cause. */
+internal class ExplainFailuresCommand : CliktCommand(name = "failures") {
+    private val files by argument("LOGS", help = "log files of daemons")
+        .file(mustExist = true, canBeDir = false)
+        .multiple(required = true)
+
+    override fun help(context: Context) = "Count the refused and failed requests in logs by cause, with one of each."
+
+    override fun run() {
+        val logs = readLogs(files)
+        val causes = logs.failed.mapNotNull(logs::storyOf).groupBy { "${it.cause.end.name.lowercase()}: ${kindOf(it)}" }
+        causes.entries.sortedByDescending { it.value.size }.forEach { (cause, stories) ->
+            echo("%6d  %s  (%s)".format(stories.size, cause, stories.first().id))
+        }
+    }
+
+    /** The cause without its figures and names, which differ from call to call. */
+    private fun kindOf(story: CallStory) = story.cause.text?.replace(VARIABLE, "...") ?: NO_CAUSE
+
+    private companion object {
+        val VARIABLE = Regex("""\S*\d\S*""")
+    }
+}
+
+private const val NO_CAUSE = "the logs name no cause"
+
+private fun readLogs(files: List<File>): DaemonLogs = DaemonLogs(
+    files.asSequence().flatMap { file -> file.readLines().mapNotNull { parseLogLine(it, file.nameWithoutExtension) } },
+)
