Name the setting of a port that an entry daemon can't open

Cause: the failure of a bind left the command as a stack trace. It is one line now, with the setting, the address and the system's reason, and exit code 2; sockets that were open already are closed. The HTTP server's start fails by cancellation and gRPC's with an exception of its own, so the last socket failure among the causes is told. Test: each of the three ports taken.

--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/EntryCommand.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/EntryCommand.kt
@@ -8,6 +8,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.michaelbull.result.getOrElse
 import io.jasmineford.daemon.EntryDaemon
+import io.jasmineford.daemon.PortTakenException
 import io.jasmineford.daemon.settings.parseEntrySettings
 import io.jasmineford.store.HttpObjectStore
 import kotlinx.coroutines.runBlocking
@@ -28,7 +29,12 @@
         }
         val store = HttpObjectStore(settings.platformUrl, settings.storeTimeoutMs.milliseconds)
         val daemon = EntryDaemon(settings, store)
-        runBlocking { daemon.start() }
+        try {
+            runBlocking { daemon.start() }
+        } catch (e: PortTakenException) {
+            daemon.close()
+            throw CliktError(e.message, cause = e, statusCode = EXIT_BAD_INPUT)
+        }
         awaitShutdown { runBlocking { daemon.stop() } }
     }
 }
--- a/jasmineford-cli/src/test/kotlin/io/jasmineford/cli/CommandLineTest.kt
+++ b/jasmineford-cli/src/test/kotlin/io/jasmineford/cli/CommandLineTest.kt
@@ -2,6 +2,8 @@
 
 import com.github.ajalt.clikt.testing.test
 import java.io.File
+import java.net.InetAddress
+import java.net.ServerSocket
 import kotlin.io.path.createTempFile
 import kotlin.io.path.writeText
 import kotlin.test.Test
@@ -66,5 +68,18 @@
         assertEquals(1, result.stderr.trim().lines().size)
     }
 
+    @Test
+    fun `an entry daemon whose port is taken names the setting and the address in one line`() {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { taken ->
+            for (setting in listOf("callerPort", "operatorPort", "peerPort")) {
+                val text = "vm: a\nzone: z\nplatformUrl: http://127.0.0.1:1\n$setting: ${taken.localPort}\n"
+                val result = rootCommand().test("entry --settings ${fileOf(text)}")
+                assertEquals(EXIT_BAD_INPUT, result.statusCode)
+                assertEquals(1, result.stderr.trim().lines().size, result.stderr)
+                assertContains(result.stderr, "$setting: can't open 127.0.0.1:${taken.localPort}")
+            }
+        }
+    }
+
     private fun fileOf(text: String) = createTempFile(suffix = ".yaml").apply { writeText(text) }
 }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -112,17 +112,24 @@
     private lateinit var operatorServer: EmbeddedServer<*, *>
     private lateinit var peerServer: Server
 
-    /** Starts all ports and returns the addresses in use. */
+    /**
+     * Starts all ports and returns the addresses in use.
+     *
+     * @throws PortTakenException when a port of the settings can't be opened.
+     */
     suspend fun start(): VmIdentity {
-        peerServer = peerServer(settings.host, settings.peerPort, PeerService(peerPort())).start()
+        val host = settings.host
+        peerServer = opened("peerPort", host, settings.peerPort) {
+            peerServer(host, settings.peerPort, PeerService(peerPort())).start()
+        }
         callerServer = server(settings.callerPort) { callerModule(callerPort()) }
         operatorServer = server(settings.operatorPort) { operatorModule(operatorPort()) }
         val identity = VmIdentity(
             vm = settings.vm,
             zone = settings.zone,
-            callerAddress = "${settings.host}:${callerServer.startAndGetPort()}",
+            callerAddress = "$host:${opened("callerPort", host, settings.callerPort) { callerServer.startAndGetPort() }}",
             peerAddress = "${settings.host}:${peerServer.port}",
-            operatorAddress = "${settings.host}:${operatorServer.startAndGetPort()}",
+            operatorAddress = "$host:${opened("operatorPort", host, settings.operatorPort) { operatorServer.startAndGetPort() }}",
         )
         withContext(control) { startControl(identity) }
         log.event(
@@ -174,9 +181,9 @@
         if (isClosed) return
         isClosed = true
         scope.cancel()
-        callerServer.stop(gracePeriodMillis = 0, timeoutMillis = CLOSE_TIMEOUT_MS)
-        operatorServer.stop(gracePeriodMillis = 0, timeoutMillis = CLOSE_TIMEOUT_MS)
-        peerServer.shutdownNow()
+        if (::callerServer.isInitialized) callerServer.stop(gracePeriodMillis = 0, timeoutMillis = CLOSE_TIMEOUT_MS)
+        if (::operatorServer.isInitialized) operatorServer.stop(gracePeriodMillis = 0, timeoutMillis = CLOSE_TIMEOUT_MS)
+        if (::peerServer.isInitialized) peerServer.shutdownNow()
         peers.close()
         client.close()
         control.close()
--- /dev/null
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/PortTakenException.kt
@@ -0,0 +1,21 @@
+package io.jasmineford.daemon
+
+import kotlinx.coroutines.CancellationException
+import java.io.IOException
+
+/** A port of the settings can't be opened; the message names the setting, the address and the reason. */
+class PortTakenException(message: String, cause: Throwable) : IOException(message, cause)
+
+/** Opens [port] of [setting] with [open]; a failure that no socket caused passes unchanged. */
+internal inline fun <T> opened(setting: String, host: String, port: Int, open: () -> T): T = try {
+    open()
+} catch (e: IOException) {
+    throw portTaken(setting, "$host:$port", e) ?: e
+} catch (e: CancellationException) {
+    // The HTTP server's start fails by cancellation, with the socket's failure as its cause.
+    throw portTaken(setting, "$host:$port", e) ?: e
+}
+
+internal fun portTaken(setting: String, address: String, failure: Throwable): PortTakenException? =
+    generateSequence(failure) { it.cause }.lastOrNull { it is IOException }
+        ?.let { PortTakenException("$setting: can't open $address: ${it.message}", failure) }
