--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/report/ExplainLogsCommands.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/report/ExplainLogsCommands.kt
@@ -32,7 +32,8 @@
         val logs = readLogs(files)
         val stories = listOfNotNull(logs.storyOf(id)).ifEmpty { logs.callsOfProgram(id).mapNotNull(logs::storyOf) }
         if (stories.isEmpty()) {
-            throw CliktError("expected log lines of $id, actual none in ${files.size} files", statusCode = EXIT_BAD_INPUT)
+            val problem = "expected log lines of $id, actual none in ${files.size} files"
+            throw CliktError(problem, statusCode = EXIT_BAD_INPUT)
         }
         if (format == "json") echo(Json.encodeToString(stories)) else stories.forEach(::show)
     }
--- a/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
+++ b/jasmineford-daemon/src/main/kotlin/io/jasmineford/daemon/EntryDaemon.kt
@@ -124,12 +124,14 @@
         }
         callerServer = server(settings.callerPort) { callerModule(callerPort()) }
         operatorServer = server(settings.operatorPort) { operatorModule(operatorPort()) }
+        val callerPort = opened("callerPort", host, settings.callerPort) { callerServer.startAndGetPort() }
+        val operatorPort = opened("operatorPort", host, settings.operatorPort) { operatorServer.startAndGetPort() }
         val identity = VmIdentity(
             vm = settings.vm,
             zone = settings.zone,
-            callerAddress = "$host:${opened("callerPort", host, settings.callerPort) { callerServer.startAndGetPort() }}",
+            callerAddress = "$host:$callerPort",
             peerAddress = "${settings.host}:${peerServer.port}",
-            operatorAddress = "$host:${opened("operatorPort", host, settings.operatorPort) { operatorServer.startAndGetPort() }}",
+            operatorAddress = "$host:$operatorPort",
         )
         withContext(control) { startControl(identity) }
         log.event(
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/limit/AccountMeterTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/limit/AccountMeterTest.kt
@@ -121,7 +121,9 @@
         if (!isReached(from)) return
         val uses = meters[from].uses()
         meters[from].markTold()
-        meters.forEachIndexed { to, hearer -> if (to != from && isReached(to)) hearer.hear("daemon-$from", 1, uses) { CLUB } }
+        meters.forEachIndexed { to, hearer ->
+            if (to != from && isReached(to)) hearer.hear("daemon-$from", 1, uses) { CLUB }
+        }
     }
 
     @Test
--- a/jasmineford-report/src/main/kotlin/io/jasmineford/report/log/LogLine.kt
+++ b/jasmineford-report/src/main/kotlin/io/jasmineford/report/log/LogLine.kt
@@ -32,12 +32,12 @@
  * @param source name for the daemon; text before the first pair, such as a collector's prefix, is used instead.
  */
 fun parseLogLine(text: String, source: String): LogLine? {
-    val start = text.indexOf("ts=")
-    if (start < 0) return null
-    val pairs = PAIR.findAll(text, start).associate { it.groupValues[1] to it.groupValues[2].removeSurrounding("\"") }
+    val prefix = text.substringBefore("ts=")
+    val pairs = PAIR.findAll(text.removePrefix(prefix))
+        .associate { it.groupValues[1] to it.groupValues[2].removeSurrounding("\"") }
     val at = pairs["ts"]?.toLongOrNull()
     val event = pairs["event"]
     if (at == null || event == null) return null
-    val daemon = text.substring(0, start).trim().split(' ').last().ifEmpty { source }
+    val daemon = prefix.trim().split(' ').last().ifEmpty { source }
     return LogLine(at, daemon, event, pairs - setOf("ts", "event"))
 }
