Serve the gateway with pieces that exist once

Read-through of the whole change; behaviour is meant to stay as it is. - DecayingRate repeated the core's DemandEstimate: the gateway calls that one now.

--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/report/ExplainLogsCommands.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/report/ExplainLogsCommands.kt
@@ -21,9 +21,7 @@
 /** Joins the log lines of many daemons about one call, or about all calls of a program, and names the cause. */
 internal class ExplainRequestCommand : CliktCommand(name = "request") {
     private val id by argument("ID", help = "id of a request, or name of a program")
-    private val files by argument("LOGS", help = "log files of daemons")
-        .file(mustExist = true, canBeDir = false)
-        .multiple(required = true)
+    private val files by logFiles()
     private val format by option("--format").choice("text", "json").default("text")
 
     override fun help(context: Context) = "What the daemons' logs tell of a request, and why it ended as it did."
@@ -53,9 +51,7 @@
 
 /** Counts the refused and failed calls by cause. */
 internal class ExplainFailuresCommand : CliktCommand(name = "failures") {
-    private val files by argument("LOGS", help = "log files of daemons")
-        .file(mustExist = true, canBeDir = false)
-        .multiple(required = true)
+    private val files by logFiles()
 
     override fun help(context: Context) = "Count the refused and failed requests in logs by cause, with one of each."
 
@@ -77,6 +73,10 @@
 
 private const val NO_CAUSE = "the logs name no cause"
 
+private fun CliktCommand.logFiles() = argument("LOGS", help = "log files of daemons")
+    .file(mustExist = true, canBeDir = false)
+    .multiple(required = true)
+
 private fun readLogs(files: List<File>): DaemonLogs = DaemonLogs(
     files.asSequence().flatMap { file -> file.readLines().mapNotNull { parseLogLine(it, file.nameWithoutExtension) } },
 )
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/DemandEstimate.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/DemandEstimate.kt
@@ -4,9 +4,9 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Exponentially weighted rate of events. An event counts for about [memory] times [MEMORY_FACTOR]. */
+/** Exponentially weighted rate of events. An event counts for about [memory]. */
 class DemandEstimate(memory: Duration) {
-    private val seconds = memory.toDouble(DurationUnit.SECONDS) * MEMORY_FACTOR
+    private val seconds = memory.toDouble(DurationUnit.SECONDS)
     private var weight = 0.0
     private var updatedAt = Duration.ZERO
 
@@ -28,9 +28,4 @@
         weight *= exp(-elapsed / seconds)
         updatedAt = now
     }
-
-    private companion object {
-        /** Longer than the lookahead, so that the estimate doesn't swing with single arrivals. */
-        const val MEMORY_FACTOR = 5.0
-    }
 }
--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SliceBorrower.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/limit/SliceBorrower.kt
@@ -27,7 +27,7 @@
     private val isReusable: Boolean = false,
 ) {
     private val held = ArrayDeque<Held>()
-    private val demand = DemandEstimate(settings.lookahead)
+    private val demand = DemandEstimate(settings.lookahead * MEMORY_FACTOR)
     private val sentAt = HashMap<Long, Duration>()
     private var awaited: Long? = null
     private var nextRequest = Duration.ZERO
@@ -119,5 +119,8 @@
         /** Requests expected in the lookahead below which a slice ahead of need would mostly be returned unused. */
         const val LEAST_AHEAD = 0.5
         const val NEGLIGIBLE_DEMAND = 0.01
+
+        /** Memory of the demand in lookaheads: longer, so that the estimate doesn't swing with single arrivals. */
+        const val MEMORY_FACTOR = 5.0
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmittedCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmittedCall.kt
@@ -28,7 +28,7 @@
     val accountName: String get() = account?.name.orEmpty()
 
     /** Identity of the program among those of all accounts. */
-    val programKey: String get() = "$accountName/${attributes.program}"
+    val programKey: String get() = programKey(account, attributes.program)
 
     /** Time at which the caller gives up. */
     val callerDeadline: Duration = arrivedAt + (attributes.deadline ?: route.timeout)
@@ -65,3 +65,6 @@
         const val LAST_EVENT_ID = "Last-Event-Id"
     }
 }
+
+/** Identity of [program] of [account] among the programs of all accounts. */
+internal fun programKey(account: ClientAccount?, program: String?): String = "${account?.name.orEmpty()}/$program"
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallGate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallGate.kt
@@ -24,8 +24,13 @@
 
 /** What becomes of a call at the door. */
 sealed interface GateVerdict {
-    /** The call may go on; [account] is null on public routes. */
-    data class Admitted(val route: Route, val account: ClientAccount?) : GateVerdict
+    /**
+     * The call may go on.
+     *
+     * @property account null on public routes.
+     * @property fingerprint identity of the call's content.
+     */
+    data class Admitted(val route: Route, val account: ClientAccount?, val fingerprint: String) : GateVerdict
 
     /** The call is refused and has not run. */
     data class Refused(
@@ -91,10 +96,11 @@
         call: GateCall,
         fingerprint: (ClientAccount?) -> String,
     ): GateVerdict {
-        if (isSuspect(fingerprint(account))) return GateVerdict.Refused(BAD_GATEWAY, GateReason.CRASHES_ENDPOINTS)
-        val standing = call.program?.let { activity.note("${account?.name}/$it") } ?: ProgramStanding.UNDER_WAY
+        val content = fingerprint(account)
+        if (isSuspect(content)) return GateVerdict.Refused(BAD_GATEWAY, GateReason.CRASHES_ENDPOINTS)
+        val standing = call.program?.let { activity.note(programKey(account, it)) } ?: ProgramStanding.UNDER_WAY
         return when (val allotment = account?.let { meter.admit(it, standing) } ?: Allotment.Admitted) {
-            is Allotment.Admitted -> GateVerdict.Admitted(route, account)
+            is Allotment.Admitted -> GateVerdict.Admitted(route, account, content)
             is Allotment.Exceeded ->
                 GateVerdict.Refused(
                     status = TOO_MANY_REQUESTS,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -1,11 +1,11 @@
 package io.jasmineford.gateway.call
 
+import io.jasmineford.core.limit.DemandEstimate
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.config.Service
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
-import io.jasmineford.gateway.measure.DecayingRate
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -54,7 +54,7 @@
 
     /** An endpoint of [service] finished a call that took [took]. */
     fun completed(service: Service, took: Duration) {
-        completionsOf(service).note(took)
+        completionsOf(service).note(clock.now(), took)
         run()
     }
 
@@ -80,11 +80,11 @@
 
     /** Time until a call behind [ahead] others is placed. */
     private fun expectedWait(service: Service, ahead: Int): Duration {
-        val perSecond = completionsOf(service).rate.perSecond
+        val perSecond = completionsOf(service).rate.perSecond(clock.now())
         return if (perSecond <= 0) Duration.ZERO else (ahead / perSecond).seconds
     }
 
-    private fun completionsOf(service: Service) = completions.getOrPut(service.name) { Completions(clock) }
+    private fun completionsOf(service: Service) = completions.getOrPut(service.name) { Completions() }
 
     private companion object {
         /** No call is answered faster. */
@@ -96,17 +96,17 @@
 }
 
 /** Smoothed rate and duration of a service's calls. */
-private class Completions(clock: MonotonicClock) {
+private class Completions {
     /** Calls that end. */
-    val rate = DecayingRate(clock, RATE_MEMORY)
+    val rate = DemandEstimate(RATE_MEMORY)
 
     /** Smoothed time of one call. */
     var serviceTime: Duration = Duration.ZERO
         private set
 
-    /** Takes a call that ends now and took [took]. */
-    fun note(took: Duration) {
-        rate.note()
+    /** Takes a call that ended at [now] and took [took]. */
+    fun note(now: Duration, took: Duration) {
+        rate.add(now)
         serviceTime = if (serviceTime == Duration.ZERO) took else serviceTime + (took - serviceTime) * TIME_WEIGHT
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnKeeper.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnKeeper.kt
@@ -7,6 +7,7 @@
 import io.jasmineford.gateway.turn.TokenEntry
 import io.jasmineford.gateway.turn.TokenReserver
 import io.jasmineford.gateway.turn.TurnRecord
+import io.jasmineford.gateway.turn.chain
 
 /** Whether a turn may run, and what precedes it. */
 sealed interface TurnStart {
@@ -69,14 +70,7 @@
     }
 
     private fun chain(account: String, previous: String, onDone: (ChainLookup) -> Unit) {
-        val known = ArrayDeque<TurnRecord>()
-        var next: String? = previous
-        while (next != null) {
-            val turn = recent[next]?.takeIf { it.account == account } ?: break
-            known.addFirst(turn)
-            next = turn.previous
-        }
-        val missing = next
+        val (known, missing) = recent.chain(previous, account)
         if (missing == null) {
             onDone(ChainLookup.Found(known))
         } else {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallIntake.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallIntake.kt
@@ -47,10 +47,9 @@
         val config = view.config
         val host = request.headers[HttpHeaderNames.HOST]
         val call = GateCall(host, request.path, attributes.accountKey, attributes.program)
-        val content = contentOf(request)
-        when (val verdict = gate.judge(config, call) { fingerprint(content, it) }) {
+        when (val verdict = gate.judge(config, call) { fingerprint(request, it) }) {
             is GateVerdict.Refused -> refuse(request, exchange, verdict)
-            is GateVerdict.Admitted -> start(request, exchange, attributes, content, verdict)
+            is GateVerdict.Admitted -> start(request, exchange, attributes, verdict)
         }
     }
 
@@ -58,7 +57,6 @@
         request: CallerRequest,
         exchange: CallerExchange,
         attributes: CallAttributes,
-        content: String,
         verdict: GateVerdict.Admitted,
     ) {
         val service = view.config?.let { serviceOf(verdict.route, attributes, it) }
@@ -72,7 +70,7 @@
             route = verdict.route,
             account = verdict.account,
             service = service,
-            fingerprint = fingerprint(content, verdict.account),
+            fingerprint = verdict.fingerprint,
             arrivedAt = services.clock.now(),
             arrivedAtMillis = services.wallMillis(),
         )
@@ -91,14 +89,12 @@
         return config.services[chosen.service]
     }
 
-    private fun contentOf(request: CallerRequest): String {
+    private fun fingerprint(request: CallerRequest, account: ClientAccount?): String {
         val sum = CRC32()
         sum.update(request.body.nioBuffer())
-        return "${request.method}|${request.uri}|${sum.value}"
+        return "${account?.name}|${request.method}|${request.uri}|${sum.value}"
     }
 
-    private fun fingerprint(content: String, account: ClientAccount?) = "${account?.name}|$content"
-
     private fun refuse(request: CallerRequest, exchange: CallerExchange, refusal: GateVerdict.Refused) {
         val id = request.headers[names.attemptId]
         services.metrics.refused(refusal.reason.name)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -3,12 +3,10 @@
 import io.jasmineford.gateway.call.CrashSuspects
 import io.jasmineford.gateway.endpoint.EndpointDirectory
 import io.jasmineford.gateway.limit.AccountMeter
-import io.jasmineford.gateway.limit.AllotmentUse
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.peer.Heartbeat
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.peer.PeerTable
-import io.jasmineford.gateway.peer.UseReport
 
 /** What an entry daemon knows by itself and shares with the others in heartbeats. */
 internal class EntryState(
@@ -44,7 +42,7 @@
             contactAgeMillis = if (age.isFinite()) age.inWholeMilliseconds else -1,
             configVersion = view.config?.version ?: -1,
             inFlight = directory.all.filter { it.inFlight > 0 }.associate { it.endpoint.id to it.inFlight },
-            uses = meter.uses().map { UseReport(it.account, it.admitted, it.offeredPerSecond) },
+            uses = meter.uses(),
             crashes = suspects.counts(),
             programs = activity.takeNews(),
         )
@@ -53,8 +51,7 @@
     /** Takes what [peer] told. */
     fun hear(peer: Peer, view: StoreView) {
         val heartbeat = peer.heartbeat ?: return
-        val uses = heartbeat.uses.map { AllotmentUse(it.account, it.admitted, it.offered) }
-        meter.hear(heartbeat.from, heartbeat.incarnation, uses) { view.config?.accounts?.get(it) }
+        meter.hear(heartbeat.from, heartbeat.incarnation, heartbeat.uses) { view.config?.accounts?.get(it) }
         suspects.hear(heartbeat.crashes)
         activity.hear(heartbeat.from, heartbeat.programs)
         // A peer with a newer version proves that this daemon's version is not the store's.
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountDemand.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountDemand.kt
@@ -1,7 +1,7 @@
 package io.jasmineford.gateway.limit
 
+import io.jasmineford.core.limit.DemandEstimate
 import io.jasmineford.core.time.MonotonicClock
-import io.jasmineford.gateway.measure.DecayingRate
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -9,10 +9,10 @@
 /** Calls a second that one account offers, here and at the other daemons. */
 internal class AccountDemand(private val clock: MonotonicClock) {
     private val heard = HashMap<String, Pair<Double, Duration>>()
-    private val arrivals = DecayingRate(clock, MEMORY)
+    private val arrivals = DemandEstimate(MEMORY)
 
     /** Calls a second at this daemon. */
-    val own: Double get() = arrivals.perSecond
+    val own: Double get() = arrivals.perSecond(clock.now())
 
     /** Calls a second at the daemons that were heard lately. */
     fun others(): Double {
@@ -21,7 +21,7 @@
     }
 
     /** Counts a call. */
-    fun note() = arrivals.note()
+    fun note() = arrivals.add(clock.now())
 
     /** Daemon [from] is offered [perSecond] calls. */
     fun hear(from: String, perSecond: Double) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountMeter.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountMeter.kt
@@ -2,6 +2,8 @@
 
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.config.ClientAccount
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -38,10 +40,11 @@
 }
 
 /** Use of one account's allotment by one daemon, as told to the others. */
+@Serializable
 data class AllotmentUse(
     val account: String,
     val admitted: Long,
-    val offeredPerSecond: Double,
+    @SerialName("offered") val offeredPerSecond: Double,
 )
 
 /**
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.peer
 
+import io.jasmineford.gateway.limit.AllotmentUse
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 
@@ -43,7 +44,7 @@
     val contactAgeMillis: Long = -1,
     val configVersion: Long = -1,
     val inFlight: Map<String, Int> = emptyMap(),
-    val uses: List<UseReport> = emptyList(),
+    val uses: List<AllotmentUse> = emptyList(),
     val crashes: Map<String, Int> = emptyMap(),
     val programs: Map<String, Int> = emptyMap(),
 ) {
@@ -52,13 +53,5 @@
         copy(inFlight = emptyMap(), uses = emptyList(), crashes = emptyMap(), programs = emptyMap())
 }
 
-/** Use of an account's allotment. */
-@Serializable
-data class UseReport(
-    val account: String,
-    val admitted: Long,
-    val offered: Double,
-)
-
 /** Codec of messages between daemons. */
 internal val peerCbor = Cbor { ignoreUnknownKeys = true }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectStoreClient.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectStoreClient.kt
@@ -23,20 +23,23 @@
     /** The call was executed. */
     data class Success<T>(val value: T) : StoreReply<T>
 
+    /** The call gave no value. */
+    sealed interface Failure : StoreReply<Nothing>
+
     /** The object exists already or has another revision. */
-    data object Conflict : StoreReply<Nothing>
+    data object Conflict : Failure
 
     /** There is no such object. */
-    data object NotFound : StoreReply<Nothing>
+    data object NotFound : Failure
 
     /** The history from the requested revision on is gone; list again. */
-    data object HistoryGone : StoreReply<Nothing>
+    data object HistoryGone : Failure
 
     /** The store said no; nothing was done. */
-    data class Refused(val status: Int) : StoreReply<Nothing>
+    data class Refused(val status: Int) : Failure
 
     /** No answer: the call may have been executed or may be executed later. */
-    data class Unknown(val reason: String) : StoreReply<Nothing>
+    data class Unknown(val reason: String) : Failure
 }
 
 /** Kinds of objects that the daemons read or write. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryState.kt
@@ -22,16 +22,7 @@
     fun tokens(program: ProgramKey): TokenAccount = accounts[program] ?: TokenAccount()
 
     /** Turn [id] of [account] with all that it continues from, oldest first, and the first turn that is not held. */
-    fun chain(id: String, account: String): Pair<List<TurnRecord>, String?> {
-        val found = ArrayDeque<TurnRecord>()
-        var next: String? = id
-        while (next != null) {
-            val turn = turns[next]?.takeIf { it.account == account } ?: break
-            found.addFirst(turn)
-            next = turn.previous
-        }
-        return found to next
-    }
+    fun chain(id: String, account: String): Pair<List<TurnRecord>, String?> = turns.chain(id, account)
 
     /** At most [count] entries from position [from] on. */
     fun entriesFrom(from: Int, count: Int): List<HistoryEntry> =
@@ -39,3 +30,18 @@
 
     private fun accountOf(program: ProgramKey) = accounts.getOrPut(program) { TokenAccount() }
 }
+
+/**
+ * Turn [id] of [account] among these, by id, with all that it continues from, oldest first, and the first turn that is
+ * not among them.
+ */
+internal fun Map<String, TurnRecord>.chain(id: String, account: String): Pair<List<TurnRecord>, String?> {
+    val found = ArrayDeque<TurnRecord>()
+    var next: String? = id
+    while (next != null) {
+        val turn = this[next]?.takeIf { it.account == account } ?: break
+        found.addFirst(turn)
+        next = turn.previous
+    }
+    return found to next
+}
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/measure/DecayingLevelTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/measure/DecayingLevelTest.kt
@@ -17,16 +17,4 @@
         clock.advance(10.seconds)
         assertTrue(level.value < 1.01, "actual ${level.value}")
     }
-
-    @Test
-    fun `a rate follows what comes and falls when nothing does`() {
-        val rate = DecayingRate(clock, memory = 1.seconds)
-        repeat(100) {
-            clock.advance(0.1.seconds)
-            rate.note()
-        }
-        assertEquals(10.0, rate.perSecond, absoluteTolerance = 1.0)
-        clock.advance(5.seconds)
-        assertTrue(rate.perSecond < 0.1, "actual ${rate.perSecond}")
-    }
 }
