--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -12,8 +12,10 @@
 import io.jasmineford.gateway.http.CallerServer
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
+import io.jasmineford.gateway.peer.EntryExchange
 import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.peer.Peer
+import io.jasmineford.gateway.peer.PeerRole
 import io.jasmineford.gateway.peer.PeerTable
 import io.jasmineford.gateway.turn.TokenReserver
 import kotlin.time.Duration
@@ -27,16 +29,28 @@
     names: CallHeaderNames,
 ) {
     private val metrics = CallMetrics()
-    private val state = EntryState(node) { peers }
-    private val view = StoreView(node, ::endpointsChanged, ::zonesEvacuated)
+    private val state = EntryState(
+        self = node.self,
+        clock = node.clock,
+        tolerance = node.settings.bounds.rateLimitTolerance,
+        storeState = { StoreState(view.contact, view.config) },
+        peers = { peers },
+        exchange = { exchange },
+    )
+    private val view: StoreView = StoreView(node, ::endpointsChanged, ::zonesEvacuated)
     private val membership: Membership = Membership(
         node = node,
-        stateOf = { state.heartbeat(view, isReady, shutdown.hasBegun) },
-        onHeartbeat = ::onHeartbeat,
+        policy = HeartbeatPolicy(
+            targets = { exchange.targets() },
+            content = { state.heartbeat(isReady, shutdown.hasBegun, it) },
+            onHeartbeat = ::onHeartbeat,
+            onMembers = { exchange.membersChanged() },
+        ),
     )
     private val peers: PeerTable get() = membership.peers
+    private val exchange: EntryExchange = EntryExchange(node.self, membership.peers, node.clock)
     private val dispatcher = Dispatcher(
-        chooser = EndpointChooser(state.directory, node.settings.zone, node.clock) { peers.entryCount() },
+        chooser = EndpointChooser(state.directory, node.settings.zone, node.clock) { exchange.daemonCount() },
         clock = node.clock,
     )
     private val sender = EndpointSender(node.group, node.clock, names, state.directory::isUsable)
@@ -64,7 +78,13 @@
         handler = CallerRequestHandler(services, view, node.settings.bounds),
     )
     private val shutdown: GracefulShutdown = GracefulShutdown(node, server)
-    private val contactProber = StoreContactProber(node.clock, view.contact, view.configurations) { isContactLeader() }
+    private val contactProber = StoreContactProber(
+        clock = node.clock,
+        contact = view.contact,
+        configurations = view.configurations,
+        isLeader = ::isContactLeader,
+        isRelay = { exchange.isRelay() },
+    )
 
     /** Whether this daemon is listed in answers to address requests. */
     val isReady: Boolean get() = !shutdown.hasBegun && view.isReadyToServe
@@ -94,7 +114,7 @@
      * Addresses of ready entry daemons for callers of [zone]: those in the zone when there are at least two, else all.
      */
     fun addressesFor(zone: String?): List<String> {
-        val serving = peers.servingEntries() + listOfNotNull(node.self.takeIf { isReady })
+        val serving = exchange.advertised(isSelfServing = isReady)
         val inZone = serving.filter { it.zone == zone }
         return (if (inZone.size >= MIN_ZONE_ADDRESSES) inZone else serving).map(Member::callers)
     }
@@ -107,7 +127,9 @@
 
     private fun onHeartbeat(peer: Peer) {
         if (!peer.member.isEntry) return
-        state.applyHeartbeat(peer, view)
+        val expectsReply = exchange.onHeartbeat(peer)
+        state.applyHeartbeat(peer)
+        if (expectsReply) membership.sendHeartbeat(peer)
         dispatcher.assignWaiting()
     }
 
@@ -121,12 +143,13 @@
     }
 
     /**
-     * Whether no live entry daemon with store contact precedes this one by name; the first one probes the store for
-     * all.
+     * Whether this daemon is a relay and no live one with store contact precedes it by name; the first one probes the
+     * store for all.
      */
-    private fun isContactLeader(): Boolean = peers.all.none {
+    private fun isContactLeader(): Boolean = exchange.isRelay() && peers.all.none {
         val isBefore = it.member.isEntry && it.member.name < node.self.name
-        isBefore && peers.isAlive(it) && (it.heartbeat?.contactAgeMillis ?: -1) >= 0
+        isBefore && peers.isHeard(it) && exchange.roleOf(it) == PeerRole.RELAY &&
+            (it.heartbeat?.contactAgeMillis ?: -1) >= 0
     }
 
     private fun endpointsChanged(endpoints: List<Endpoint>) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -1,73 +1,154 @@
 package io.jasmineford.gateway.daemon
 
+import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.call.PoisonCallDetector
+import io.jasmineford.gateway.config.GatewayConfig
 import io.jasmineford.gateway.endpoint.EndpointDirectory
 import io.jasmineford.gateway.limit.AccountRateLimiter
 import io.jasmineford.gateway.limit.ProgramActivity
+import io.jasmineford.gateway.limit.RateLimitTolerance
+import io.jasmineford.gateway.limit.UsageReport
+import io.jasmineford.gateway.limit.UsageSource
+import io.jasmineford.gateway.peer.EntryExchange
 import io.jasmineford.gateway.peer.Heartbeat
+import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.peer.Peer
+import io.jasmineford.gateway.peer.PeerRole
 import io.jasmineford.gateway.peer.PeerTable
+import io.jasmineford.gateway.store.StoreContact
+import kotlin.time.Duration.Companion.seconds
 
-/** Load, usage and crash state of an entry daemon, which entry daemons exchange in heartbeats. */
+/** Contact with the platform's store and the configuration in force, null before one is known. */
+internal data class StoreState(val contact: StoreContact, val config: GatewayConfig?)
+
+/**
+ * Load, usage and crash state of an entry daemon, and what its neighbours in the exchange report of the other daemons.
+ *
+ * Each heartbeat carries the sum of what the receiver can't hear otherwise: a relay passes on to the other relays what
+ * its leaves report, and to each leaf what everyone else reports.
+ */
 internal class EntryState(
-    private val node: NodeRuntime,
+    private val self: Member,
+    private val clock: MonotonicClock,
+    tolerance: RateLimitTolerance,
+    private val storeState: () -> StoreState,
     private val peers: () -> PeerTable,
+    private val exchange: () -> EntryExchange,
 ) {
+    private val startedAt = clock.now()
+    private val programsTold = HashMap<String, Long>()
+
     /** Endpoints with their calls in flight. */
-    val directory = EndpointDirectory(node.clock)
+    val directory = EndpointDirectory(clock)
 
     /** Number of calls by program. */
-    val activity = ProgramActivity(node.clock)
+    val activity = ProgramActivity(clock)
 
     /** Requests that repeatedly broke endpoints. */
-    val poisonCalls = PoisonCallDetector(node.clock)
+    val poisonCalls = PoisonCallDetector(clock)
 
     /** Rate limits of the client accounts. */
     val rateLimiter = AccountRateLimiter(
-        clock = node.clock,
-        tolerance = node.settings.bounds.rateLimitTolerance,
-        unresponsiveDaemons = { peers().unresponsiveEntryCount() },
-        daemonCount = { peers().entryCount() },
+        clock = clock,
+        tolerance = tolerance,
+        unresponsiveDaemons = { exchange().silentCount() },
+        daemonCount = { exchange().daemonCount() },
     )
 
-    /** Heartbeat with this daemon's state and the store contact and configuration version of [view]. */
-    fun heartbeat(view: StoreView, isReady: Boolean, isLeaving: Boolean): Heartbeat {
-        val age = view.contact.age()
-        return Heartbeat(
-            from = node.self.name,
-            incarnation = node.incarnation,
+    /** Heartbeat for [receiver] with this daemon's state. */
+    fun heartbeat(isReady: Boolean, isLeaving: Boolean, receiver: Peer): Heartbeat {
+        val (contact, config) = storeState()
+        val age = contact.age()
+        val forwards = forwardedTo(receiver)
+        // A receiver that has echoed nothing yet knows no earlier usage to which changes could be added.
+        val isComplete = receiver.heartbeat?.let { it.echo < 0 } ?: true
+        val told = programsTold.put(receiver.member.name, activity.latestChange) ?: 0
+        val own = Heartbeat(
+            from = self.name,
+            incarnation = self.incarnation,
             sequence = 0,
             isReady = isReady,
             isLeaving = isLeaving,
             contactAgeMillis = if (age.isFinite()) age.inWholeMilliseconds else -1,
-            configVersion = view.config?.version ?: -1,
-            inFlight = directory.all.filter { it.inFlight > 0 }.associate { it.endpoint.id to it.inFlight },
-            uses = rateLimiter.usage(),
+            configVersion = config?.version ?: -1,
+            inFlight = inFlightBehind(forwards),
+            uses = rateLimiter.usage(isComplete) { source -> forwards(source.daemon, source.isRelay) },
             crashes = poisonCalls.counts(),
-            programs = activity.takeChanges(),
+            programs = activity.changesSince(told) { name -> isForwardedProgram(name, forwards) },
+            isUsageComplete = isComplete,
         )
+        return exchange().addressed(own, receiver)
     }
 
     /** Applies the latest heartbeat of [peer]. */
-    fun applyHeartbeat(peer: Peer, view: StoreView) {
+    fun applyHeartbeat(peer: Peer) {
         val heartbeat = peer.heartbeat ?: return
-        rateLimiter.applyPeerUsage(heartbeat.from, heartbeat.incarnation, heartbeat.uses) {
-            view.config?.accounts?.get(it)
+        val (contact, config) = storeState()
+        val role = exchange().roleOf(peer)
+        if (role != PeerRole.OTHER) {
+            val report = UsageReport(
+                source = UsageSource(heartbeat.from, isRelay = role != PeerRole.LEAF),
+                incarnation = heartbeat.incarnation,
+                uses = heartbeat.uses,
+                isComplete = heartbeat.isUsageComplete || role == PeerRole.DIRECT,
+                isNewSource = hasJustStarted(peer),
+            )
+            rateLimiter.applyPeerUsage(report) { config?.accounts?.get(it) }
+            activity.applyPeerCounts(heartbeat.from, heartbeat.programs)
         }
         poisonCalls.mergeCounts(heartbeat.crashes)
-        activity.applyPeerCounts(heartbeat.from, heartbeat.programs)
         // A peer with a newer configuration version confirms that version, not the one in force here.
-        val confirmation = peer.storeContact()?.takeIf { it.configVersion <= (view.config?.version ?: -1) }
-        if (confirmation != null) view.contact.confirm(confirmation.confirmedAt)
+        val confirmation = peer.storeContact()?.takeIf { it.configVersion <= (config?.version ?: -1) }
+        if (confirmation != null) contact.confirm(confirmation.confirmedAt)
         countInFlight()
     }
 
-    /** Sums the calls in flight of the other live daemons for each endpoint. */
+    /** Sums the calls in flight that the live neighbours report for each endpoint. */
     fun countInFlight() {
-        val table = peers()
-        val entries = table.all.filter { it.member.isEntry && table.isAlive(it) }
+        val neighbours = neighbours()
         directory.all.forEach { state ->
-            state.inFlightAtPeers = entries.sumOf { it.heartbeat?.inFlight?.get(state.endpoint.id) ?: 0 }
+            state.inFlightAtPeers = neighbours.sumOf { it.heartbeat?.inFlight?.get(state.endpoint.id) ?: 0 }
+        }
+    }
+
+    private fun neighbours(): List<Peer> {
+        val table = peers()
+        return table.all.filter { it.member.isEntry && table.isHeard(it) && exchange().roleOf(it) != PeerRole.OTHER }
+    }
+
+    /**
+     * Tells by name and role whether what a neighbour reports is passed on to [receiver]: to a leaf all but its own, to
+     * another relay what the leaves report, and nothing by a daemon that is not a relay.
+     */
+    private fun forwardedTo(receiver: Peer): (String, Boolean) -> Boolean {
+        val isToLeaf = exchange().roleOf(receiver) == PeerRole.LEAF
+        return when {
+            !exchange().isRelay() && !isToLeaf -> { _, _ -> false }
+            isToLeaf -> { name, isRelay -> isRelay || name != receiver.member.name }
+            else -> { name, isRelay -> !isRelay && name != receiver.member.name }
         }
     }
+
+    private fun isForwardedProgram(name: String, forwards: (String, Boolean) -> Boolean): Boolean {
+        val isRelay = peers().byName[name]?.let { exchange().roleOf(it) != PeerRole.LEAF } ?: true
+        return forwards(name, isRelay)
+    }
+
+    private fun inFlightBehind(forwards: (String, Boolean) -> Boolean): Map<String, Int> {
+        val neighbours = neighbours().filter { forwards(it.member.name, exchange().roleOf(it) != PeerRole.LEAF) }
+        val total = HashMap<String, Int>()
+        directory.all.forEach { if (it.inFlight > 0) total[it.endpoint.id] = it.inFlight }
+        neighbours.forEach { peer ->
+            peer.heartbeat?.inFlight?.forEach { (id, calls) -> total.merge(id, calls, Int::plus) }
+        }
+        return total
+    }
+
+    private fun hasJustStarted(peer: Peer): Boolean =
+        peer.firstSeenAt > startedAt && clock.now() - peer.firstSeenAt < NEW_PEER_TIME
+
+    private companion object {
+        /** Time from its registration in which the whole usage of a daemon is recent. */
+        val NEW_PEER_TIME = 3.seconds
+    }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryClients.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryClients.kt
@@ -6,7 +6,8 @@
 import io.jasmineford.gateway.turn.HistoryQuorum
 
 /**
- * Connections of an entry daemon to the history daemons. Live ones come first, and among those the ones of its zone.
+ * Connections of an entry daemon to the history daemons. Those that reply come first, and among them the ones of its
+ * zone.
  */
 internal class HistoryClients(
     private val node: NodeRuntime,
@@ -25,12 +26,10 @@
 
     private fun view(): GroupView? {
         val group = membership().storedGroup.group ?: return null
-        val peers = membership().peers
-        val members = peers.historyDaemons()
-            .filter { it.member.name in group.voters }
-            .sortedWith(compareBy({ !peers.isAlive(it) }, { it.member.zone != node.settings.zone }, { it.member.name }))
-        val unresponsive = members.filter { !peers.isAlive(it) }.map { it.member.name }.toSet()
-        return GroupView(group.epoch, group.majority, members.map { it.member }, unresponsive)
+        val members = membership().peers.historyDaemons().filter { it.member.name in group.voters }.map { it.member }
+        val unresponsive = members.filter { connections[it]?.isResponsive == false }.map { it.name }.toSet()
+        val nearest = compareBy<Member>({ it.name in unresponsive }, { it.zone != node.settings.zone }, { it.name })
+        return GroupView(group.epoch, group.majority, members.sortedWith(nearest), unresponsive)
     }
 
     private fun connectionTo(member: Member): HistoryConnection {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
@@ -34,7 +34,15 @@
         onControl = { node.loop.execute(it) },
     )
     private val replicator = HistoryReplicator(node, history)
-    private val membership: Membership = Membership(node, ::heartbeat, onHeartbeat = {})
+    private val membership: Membership = Membership(
+        node = node,
+        policy = HeartbeatPolicy(
+            targets = { historyPeers.heartbeatTargets() },
+            content = { heartbeat() },
+            onMembers = { membership.sendHeartbeats() },
+        ),
+    )
+    private val historyPeers = HistoryPeers(node.self, membership)
     private var appliedEpoch = 0L
     private var proposedAt = -Duration.INFINITE
     private val retirement: Retirement = Retirement(node, history, membership, retirementStatus)
@@ -57,6 +65,7 @@
         membership.start()
         retirement.start()
         node.every(TICK_PERIOD, ::tick)
+        node.every(CLEANUP_PERIOD) { if (historyPeers.isFirstVoter()) membership.removeExpired() }
         node.log.event("started", "role" to "history", "name" to node.settings.name, "standing" to history.status)
     }
 
@@ -147,6 +156,8 @@
         /** Time between proposals, within which the reply and the change of the stored group arrive. */
         val PROPOSAL_INTERVAL = 600.milliseconds
 
+        val CLEANUP_PERIOD = 20.seconds
+
         /** Time for replies in flight. */
         val REPLY_FLUSH_TIME = 300.milliseconds
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.daemon
 
+import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.peer.Heartbeat
 import io.jasmineford.gateway.peer.HeartbeatSocket
 import io.jasmineford.gateway.peer.Member
@@ -12,20 +13,41 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val format = Json { ignoreUnknownKeys = true }
+
+private fun decode(stored: StoredObject, log: EventLog): Member? = try {
+    stored.spec?.let { format.decodeFromJsonElement(Member.serializer(), it) }
+} catch (e: SerializationException) {
+    log.event("member-unreadable", "object" to stored.name, "reason" to e.message)
+    null
+}
+
 /**
- * Registers this daemon in the platform's store, mirrors the registrations of the others and exchanges heartbeats with
- * them.
+ * What a daemon tells to whom in heartbeats.
  *
- * @param stateOf this daemon's state for a heartbeat; sequence and echo are filled in here.
- * @param onHeartbeat called with the sender of each heartbeat that was applied.
+ * @property targets peers to which a heartbeat is due.
+ * @property content this daemon's state for a peer; sequence and echo are filled in by [Membership].
+ * @property onHeartbeat called with the sender of each heartbeat that was applied.
+ * @property onMembers called when the registrations of the other daemons have changed.
+ */
+class HeartbeatPolicy(
+    val targets: () -> List<Peer>,
+    val content: (Peer) -> Heartbeat,
+    val onHeartbeat: (Peer) -> Unit = {},
+    val onMembers: () -> Unit = {},
+)
+
+/**
+ * Registers this daemon in the platform's store, mirrors the registrations of the others and exchanges heartbeats with
+ * those that its [policy] names.
  */
 class Membership(
     private val node: NodeRuntime,
-    private val stateOf: () -> Heartbeat,
-    private val onHeartbeat: (Peer) -> Unit,
+    private val policy: HeartbeatPolicy,
 ) {
     /** The stored group of history daemons. */
     val storedGroup = StoredHistoryGroup(node)
@@ -35,11 +57,10 @@
     /** Registrations and liveness of the other daemons. */
     val peers = PeerTable(node.self, node.clock)
     private val socket = HeartbeatSocket(node.group, node.settings.peerAddress, node.log, ::receive)
-    private val format = Json { ignoreUnknownKeys = true }
 
     private val mirror = ObjectMirror(
         kind = ObjectKind.MEMBER,
-        context = node.mirrorContext,
+        context = node.mirrorContext.copy(watchPause = { REGISTRATION_BATCH_TIME * (1 + Random.nextDouble()) }),
         watchWait = WATCH_WAIT,
     ) { apply(it) }
 
@@ -53,15 +74,14 @@
         node.every(HEARTBEAT_PERIOD, ::sendHeartbeats)
     }
 
-    /** Sends a heartbeat to every peer at once. */
-    fun sendHeartbeats() {
-        val state = stateOf()
-        peers.all.forEach { peer ->
-            val isEntryTraffic = peer.member.isEntry
-            val content = if (isEntryTraffic) state else state.withoutLoad()
-            val next = content.copy(sequence = peer.nextSequence(node.clock.now()), echo = peer.highestReceived)
-            socket.send(peer.member, next)
-        }
+    /** Sends a heartbeat to every peer to which one is due. */
+    fun sendHeartbeats() = policy.targets().forEach(::sendHeartbeat)
+
+    /** Sends a heartbeat to [peer]. */
+    fun sendHeartbeat(peer: Peer) {
+        val content = policy.content(peer)
+        val next = content.copy(sequence = peer.nextSequence(node.clock.now()), echo = peer.highestReceived)
+        socket.send(peer.member, next)
     }
 
     /** Removes the registration of [member]. */
@@ -75,14 +95,17 @@
         remove(node.self)
     }
 
-    /** Removes the registrations of daemons that sent no heartbeat for long, except for voters of the history group. */
+    /**
+     * Removes the registrations of daemons of this daemon's role that gave no sign of life for long, except for voters
+     * of the history group.
+     */
     fun removeExpired() {
         val voters = storedGroup.group?.voters.orEmpty()
-        peers.expired().filter { it.name !in voters }.forEach(::remove)
+        peers.expired.filter { it.isEntry == node.self.isEntry && it.name !in voters }.forEach(::remove)
     }
 
     private fun receive(heartbeat: Heartbeat) {
-        peers.applyHeartbeat(heartbeat)?.let(onHeartbeat)
+        peers.applyHeartbeat(heartbeat)?.let(policy.onHeartbeat)
     }
 
     private fun register() {
@@ -99,7 +122,7 @@
     }
 
     private fun apply(objects: Collection<StoredObject>) {
-        val members = objects.filter { it.name != StoredHistoryGroup.NAME }.mapNotNull(::decode)
+        val members = objects.filter { it.name != StoredHistoryGroup.NAME }.mapNotNull { decode(it, node.log) }
         objects.firstOrNull { it.name == StoredHistoryGroup.NAME }?.let(storedGroup::apply)
         peers.replaceMembers(members)
         if (isRegistered && !isDeregistered && members.none { it.name == node.self.name }) {
@@ -107,14 +130,7 @@
             isRegistered = false
             register()
         }
-        sendHeartbeats()
-    }
-
-    private fun decode(stored: StoredObject): Member? = try {
-        stored.spec?.let { format.decodeFromJsonElement(Member.serializer(), it) }
-    } catch (e: SerializationException) {
-        node.log.event("member-unreadable", "object" to stored.name, "reason" to e.message)
-        null
+        policy.onMembers()
     }
 
     companion object {
@@ -125,5 +141,11 @@
         private val HEARTBEAT_PERIOD = 200.milliseconds
 
         private val REGISTRATION_RETRY = 500.milliseconds
+
+        /**
+         * Shortest time between a change of the registrations and the next watch; up to twice as long. The changes of
+         * many daemons that start together are then read by few calls.
+         */
+        private val REGISTRATION_BATCH_TIME = 500.milliseconds
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/NodeRuntime.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/NodeRuntime.kt
@@ -50,6 +50,7 @@
         ip = settings.peerAddress.hostString,
         peerPort = settings.peerAddress.port,
         callers = settings.callerAddress?.let { "${it.hostString}:${it.port}" }.orEmpty(),
+        capacity = settings.processorCapacity,
     )
 
     /** Runs [action] after every [period]; the time that the action takes is not deducted. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreContactProber.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreContactProber.kt
@@ -16,12 +16,17 @@
     private val contact: StoreContact,
     private val configurations: ObjectMirror,
     private val isLeader: () -> Boolean,
+    private val isRelay: () -> Boolean,
 ) {
     private var probedAt = -Duration.INFINITE
 
     /** Probes the store when the confirmation is too old and the previous probe is not too recent. */
     fun probeIfDue() {
-        val limit = if (isLeader()) LEADER_PROBE_AGE else FOLLOWER_PROBE_AGE
+        val limit = when {
+            isLeader() -> LEADER_PROBE_AGE
+            isRelay() -> FOLLOWER_PROBE_AGE
+            else -> LEAF_PROBE_AGE
+        }
         val mayProbe = clock.now() - probedAt > MIN_PROBE_INTERVAL
         if (configurations.isLoaded && contact.age() > limit && mayProbe) {
             probedAt = clock.now()
@@ -38,6 +43,9 @@
          */
         val FOLLOWER_PROBE_AGE = 1700.milliseconds
 
+        /** Age at which a daemon that is not a relay probes; its confirmation has taken one more heartbeat. */
+        val LEAF_PROBE_AGE = 2200.milliseconds
+
         /** Shortest time between probes while the store does not answer. */
         val MIN_PROBE_INTERVAL = 400.milliseconds
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreView.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreView.kt
@@ -4,10 +4,12 @@
 import com.github.michaelbull.result.onOk
 import io.jasmineford.gateway.config.GatewayConfig
 import io.jasmineford.gateway.endpoint.Endpoint
+import io.jasmineford.gateway.store.MirrorContext
 import io.jasmineford.gateway.store.ObjectKind
 import io.jasmineford.gateway.store.ObjectMirror
 import io.jasmineford.gateway.store.StoreContact
 import io.jasmineford.gateway.store.StoredObject
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -31,7 +33,11 @@
 
     /** Mirror of the configuration. */
     val configurations = mirror(ObjectKind.CONFIGURATION, onContact = contact::confirm) { applyConfiguration(it) }
-    private val endpoints = mirror(ObjectKind.ENDPOINT, removalGrace = ENDPOINT_REMOVAL_GRACE) { applyEndpoints(it) }
+    private val endpoints = mirror(
+        kind = ObjectKind.ENDPOINT,
+        removalGrace = ENDPOINT_REMOVAL_GRACE,
+        context = node.mirrorContext.copy(watchPause = { ENDPOINT_BATCH_TIME * (1 + Random.nextDouble()) }),
+    ) { applyEndpoints(it) }
     private val evacuations = mirror(ObjectKind.EVACUATION) { objects ->
         node.log.event("evacuations-changed", "zones" to objects.joinToString(",") { it.name })
         onEvacuations(objects.map { it.name }.toSet())
@@ -55,11 +61,12 @@
     private fun mirror(
         kind: ObjectKind,
         removalGrace: Duration = Duration.ZERO,
+        context: MirrorContext = node.mirrorContext,
         onContact: (Duration) -> Unit = {},
         onChange: (Collection<StoredObject>) -> Unit,
     ) = ObjectMirror(
         kind = kind,
-        context = node.mirrorContext,
+        context = context,
         watchWait = Membership.WATCH_WAIT,
         removalGrace = removalGrace,
         onContact = onContact,
@@ -104,6 +111,12 @@
         /** Time within which endpoints renew registrations that expired during a store outage. */
         val ENDPOINT_REMOVAL_GRACE = 2200.milliseconds
 
+        /**
+         * Shortest time between a change of the endpoints and the next watch; up to twice as long. It is short relative
+         * to the time within which a drain must be followed, and one watch reads the changes of many endpoints.
+         */
+        val ENDPOINT_BATCH_TIME = 300.milliseconds
+
         /** Age of the store contact from which this daemon is not ready, so that callers use others. */
         val MAX_READY_CONTACT_AGE = 2500.milliseconds
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountDemand.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountDemand.kt
@@ -8,23 +8,26 @@
 
 /** Arrival rate of one client account's calls, in calls per second, at this daemon and at the other ones. */
 internal class AccountDemand(private val clock: MonotonicClock) {
-    private val peerRates = HashMap<String, Pair<Double, Duration>>()
+    private val peerRates = HashMap<UsageSource, Pair<Double, Duration>>()
     private val arrivals = DemandEstimate(AVERAGING_TIME)
 
     /** Calls per second at this daemon. */
     val local: Double get() = arrivals.perSecond(clock.now())
 
-    /** Sum of the calls per second at the other daemons, of those whose latest report is still valid. */
-    fun atPeers(): Double {
+    /** Sum of the calls per second that [sources] reported, of those whose latest report is still valid. */
+    fun atPeers(sources: (UsageSource) -> Boolean = { true }): Double {
         val now = clock.now()
-        return peerRates.values.sumOf { (rate, at) -> if (now - at < PEER_RATE_LIFETIME) rate else 0.0 }
+        return peerRates.entries.sumOf { (source, report) ->
+            val (rate, at) = report
+            if (now - at < PEER_RATE_LIFETIME && sources(source)) rate else 0.0
+        }
     }
 
     /** Counts a call that arrives now. */
     fun recordCall() = arrivals.add(clock.now())
 
-    /** Records that daemon [from] reports an arrival rate of [perSecond] calls per second. */
-    fun recordPeerRate(from: String, perSecond: Double) {
+    /** Records that [from] reports an arrival rate of [perSecond] calls per second. */
+    fun recordPeerRate(from: UsageSource, perSecond: Double) {
         peerRates[from] = perSecond to clock.now()
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
@@ -55,6 +56,27 @@
     @SerialName("offered") val offeredPerSecond: Double,
 )
 
+/**
+ * Neighbour in the exchange of usage, of which a daemon may be two: while it relays for others its reports include
+ * theirs.
+ */
+data class UsageSource(val daemon: String, val isRelay: Boolean = true)
+
+/**
+ * Usage reported by one neighbour.
+ *
+ * @property incarnation process of the neighbour, whose counts start anew with it.
+ * @property isComplete whether [uses] lists every account that had calls behind the neighbour.
+ * @property isNewSource whether the neighbour has started so recently that its first report is its whole usage.
+ */
+data class UsageReport(
+    val source: UsageSource,
+    val incarnation: Long,
+    val uses: List<AccountUsage>,
+    val isComplete: Boolean = true,
+    val isNewSource: Boolean = true,
+)
+
 /**
  * Distributed token-bucket rate limiter for client accounts, without a coordinator.
  *
@@ -78,7 +100,10 @@
 ) {
     private val startedAt = clock.now()
     private val buckets = HashMap<String, Bucket>()
-    private val peerCounts = HashMap<String, HashMap<String, Long>>()
+    private val peerCounts = HashMap<Pair<UsageSource, Long>, PeerCounts>()
+
+    /** Counts reported by a neighbour, by account. Once they were complete, an account that is missing had no calls. */
+    private class PeerCounts(val byAccount: HashMap<String, Long> = HashMap(), var isComplete: Boolean = false)
 
     /** Takes a token for a call of [account] or returns a retry time; [admissionClass] decides who is refused first. */
     fun admit(account: ClientAccount, admissionClass: AdmissionClass = AdmissionClass.UNDER_WAY): RateLimitDecision =
@@ -99,26 +124,44 @@
         incarnation: Long,
         reports: List<AccountUsage>,
         accountOf: (String) -> ClientAccount?,
-    ) {
-        val counts = peerCounts.getOrPut("$from/$incarnation") { HashMap() }
-        reports.forEach { report ->
-            val account = accountOf(report.account)?.takeIf { it.ratePerSecond > 0 } ?: return@forEach
-            val before = counts.put(report.account, report.admitted)
-            bucketOf(account).chargePeerUsage(from, report, report.admitted - (before ?: uncharged(report)))
+    ) = applyPeerUsage(UsageReport(UsageSource(from), incarnation, reports), accountOf)
+
+    /**
+     * Applies the usage of [report], including accounts without a call here yet.
+     *
+     * @param accountOf returns the account of a name; usage of unknown accounts is charged once they are known.
+     */
+    fun applyPeerUsage(report: UsageReport, accountOf: (String) -> ClientAccount?) {
+        val counts = peerCounts.getOrPut(report.source to report.incarnation) { PeerCounts() }
+        report.uses.forEach { use ->
+            val account = accountOf(use.account)?.takeIf { it.ratePerSecond > 0 } ?: return@forEach
+            val before = counts.byAccount.put(use.account, use.admitted)
+            val charged = if (before != null) use.admitted - before else firstCharge(report, counts, use)
+            bucketOf(account).chargePeerUsage(report.source, use, charged)
         }
+        if (report.isComplete) counts.isComplete = true
     }
 
     /**
-     * Number of calls of another daemon's first report that are not charged. While this daemon is new, all of them, as
-     * it is unknown when they were made. Later none, as then the other daemon has just started.
+     * Number of calls of an account's first report by a neighbour that are charged. While this daemon is new, none, as
+     * it is unknown when they were made. Later all of them if the neighbour is new or had none before, and none if the
+     * neighbour has counted them for long and only now reports to this daemon.
      */
-    private fun uncharged(report: AccountUsage): Long =
-        if (clock.now() - startedAt < STARTUP_TIME) report.admitted else 0
+    private fun firstCharge(report: UsageReport, counts: PeerCounts, use: AccountUsage): Long {
+        val isRecent = counts.isComplete || (report.isComplete && report.isNewSource)
+        return if (isRecent && clock.now() - startedAt >= STARTUP_TIME) use.admitted else 0
+    }
 
     /** This daemon's usage of every account that had calls at any daemon. */
-    fun usage(): List<AccountUsage> = buckets.map { (name, bucket) ->
-        AccountUsage(account = name, admitted = bucket.admitted, offeredPerSecond = bucket.offeredPerSecond())
-    }
+    fun usage(): List<AccountUsage> = usage(isComplete = true) { false }
+
+    /**
+     * Usage at this daemon and behind [sources] together, of every account that had calls if [isComplete], else of
+     * those whose usage has changed recently.
+     */
+    fun usage(isComplete: Boolean, sources: (UsageSource) -> Boolean): List<AccountUsage> = buckets
+        .filter { (_, bucket) -> isComplete || clock.now() - bucket.changedAt < REPEAT_TIME }
+        .map { (_, bucket) -> bucket.usage(sources) }
 
     /** Whether the usage since the last [markReported] is large enough to be reported at once. */
     fun hasUnreportedUsage(): Boolean = buckets.values.any { it.hasUnreportedUsage() }
@@ -138,15 +181,22 @@
             private set
         private var level = capacity * INITIAL_LEVEL
         private var shareLevel = 0.0
+        private var silentShare = 0.0
         private var updatedAt = startedAt
         private var reported = 0L
         private val demand = AccountDemand(clock)
+        private val chargedBySource = HashMap<UsageSource, Long>()
+
+        /** Time of the latest call or charge. */
+        var changedAt = startedAt
+            private set
         private var lastRetryAt = -Duration.INFINITE
 
         fun admit(admissionClass: AdmissionClass): RateLimitDecision {
             refill()
+            changedAt = clock.now()
             demand.recordCall()
-            val isFree = level > capacity * freeThreshold(admissionClass)
+            val isFree = level > freeThreshold(admissionClass)
             val mayUseShare = admissionClass == AdmissionClass.UNDER_WAY && level > 0
             val fits = isFree || (mayUseShare && shareLevel >= 1)
             if (fits) {
@@ -159,19 +209,28 @@
 
         fun refund() {
             refill()
+            changedAt = clock.now()
             admitted--
             level = (level + 1).coerceAtMost(capacity)
         }
 
-        fun chargePeerUsage(from: String, report: AccountUsage, amount: Long) {
+        fun chargePeerUsage(from: UsageSource, use: AccountUsage, amount: Long) {
             refill()
             level = (level - amount).coerceAtLeast(-account.burst)
-            demand.recordPeerRate(from, report.offeredPerSecond)
+            demand.recordPeerRate(from, use.offeredPerSecond)
+            if (amount != 0L) {
+                changedAt = clock.now()
+                chargedBySource.merge(from, amount, Long::plus)
+            }
         }
 
-        fun offeredPerSecond(): Double {
+        fun usage(sources: (UsageSource) -> Boolean): AccountUsage {
             refill()
-            return demand.local
+            return AccountUsage(
+                account = account.name,
+                admitted = admitted + chargedBySource.entries.sumOf { if (sources(it.key)) it.value else 0L },
+                offeredPerSecond = demand.local + demand.atPeers(sources),
+            )
         }
 
         fun hasUnreportedUsage(): Boolean = admitted - reported > account.burst * REPORT_FRACTION
@@ -186,7 +245,7 @@
          */
         private fun retryAfter(admissionClass: AdmissionClass): Duration {
             val now = clock.now()
-            val missing = (capacity * freeThreshold(admissionClass) + 1 - level).coerceAtLeast(0.0)
+            val missing = (freeThreshold(admissionClass) + 1 - level).coerceAtLeast(0.0)
             val step = (1 / account.ratePerSecond).seconds
             val earliest = maxOf(now + step * missing, lastRetryAt + step)
             val latest = now + MAX_RETRY_AFTER
@@ -201,16 +260,27 @@
             updatedAt = now
             val unresponsiveShare = unresponsiveDaemons().toDouble() / daemonCount().coerceAtLeast(1)
             val rate = account.ratePerSecond * (1 - unresponsiveShare)
-            level = (level + seconds * rate).coerceAtMost(capacity)
+            // Until a daemon was found to be silent, its share of the refill was counted as if it had not been used.
+            val newlySilent = (unresponsiveShare - silentShare).coerceAtLeast(0.0)
+            silentShare = unresponsiveShare
+            val unseen = account.ratePerSecond * newlySilent * SILENCE_DETECTION_TIME.toDouble(DurationUnit.SECONDS)
+            level = (level + seconds * rate).coerceAtMost(capacity) - unseen
             shareLevel = (shareLevel + seconds * account.ratePerSecond * refillShare())
                 .coerceAtMost((account.burst * refillShare()).coerceAtLeast(1.0))
         }
 
-        /** Bucket level, as a fraction of the capacity, above which a call is admitted freely. */
+        /**
+         * Bucket level above which a call is admitted freely. It leaves room for the calls that the other daemons admit
+         * until their reports arrive.
+         */
         private fun freeThreshold(admissionClass: AdmissionClass): Double {
-            val isBusy = demand.local + demand.atPeers() > account.ratePerSecond * BUSY_RATE_FRACTION
+            val elsewhere = demand.atPeers()
+            val isBusy = demand.local + elsewhere > account.ratePerSecond * BUSY_RATE_FRACTION
             val isLimited = admissionClass == AdmissionClass.NEW && isBusy
-            return if (isLimited) BUSY_NEW_THRESHOLD else baseThreshold(admissionClass)
+            val fraction = if (isLimited) BUSY_NEW_THRESHOLD else baseThreshold(admissionClass)
+            val unreported = elsewhere * REPORT_DELAY.toDouble(DurationUnit.SECONDS)
+            val lowest = capacity * UNDER_WAY_THRESHOLD + unreported.coerceAtMost(capacity * MAX_UNREPORTED)
+            return maxOf(capacity * fraction, lowest)
         }
 
         /** This daemon's share of the refill: by arrival rate, after an equal share for each unresponsive one. */
@@ -229,6 +299,12 @@
         /** Time after the start within which all other daemons have reported once. */
         val STARTUP_TIME = 1.seconds
 
+        /** Time without reports after which a daemon counts as silent. */
+        val SILENCE_DETECTION_TIME = 450.milliseconds
+
+        /** Time for which a change of the usage is reported again, since single reports may be lost. */
+        val REPEAT_TIME = 1.seconds
+
         /** Level above which calls of programs in progress are admitted without regard to the other daemons. */
         const val UNDER_WAY_THRESHOLD = 0.15
 
@@ -253,6 +329,12 @@
             AdmissionClass.EXCESSIVE -> EXCESSIVE_THRESHOLD
         }
 
+        /** Mean age of the other daemons' reports, through up to two relays. */
+        val REPORT_DELAY = 200.milliseconds
+
+        /** Largest fraction of the capacity that is kept for calls not yet reported. */
+        const val MAX_UNREPORTED = 0.35
+
         /** Unreported usage, as a fraction of the burst, that is reported to the other daemons at once. */
         const val REPORT_FRACTION = 0.02
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/ProgramActivity.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/ProgramActivity.kt
@@ -23,16 +23,24 @@
         val total: Int get() = own + atPeers.values.sum()
     }
 
+    private class Change(val number: Long, val program: String, val at: Duration)
+
     private val counts = HashMap<String, Count>()
-    private val changed = HashSet<String>()
+    private val changes = ArrayDeque<Change>()
+    private var changeCount = 0L
+    private var takenUpTo = 0L
     private var sweptAt = clock.now()
 
+    /** Number of the latest change, for [changesSince]. */
+    val latestChange: Long get() = changeCount
+
     /** Counts a call of [program] and returns its admission class. */
     fun recordCall(program: String): AdmissionClass {
         val count = countOf(program)
         val admissionClass = classOf(count)
+        val before = count.total
         count.own++
-        changed.add(program)
+        recordChange(program, before, count.total)
         return admissionClass
     }
 
@@ -42,17 +50,32 @@
     }
 
     /** Applies the counts that daemon [from] reports. */
-    fun applyPeerCounts(
-        from: String,
-        reported: Map<String, Int>
-    ) = reported.forEach { (program, count) -> countOf(program).atPeers[from] = count }
+    fun applyPeerCounts(from: String, reported: Map<String, Int>) = reported.forEach { (program, calls) ->
+        val count = countOf(program)
+        val before = count.total
+        count.atPeers[from] = calls
+        recordChange(program, before, count.total)
+    }
 
     /** Returns this daemon's counts that have changed since the last call of this function. */
-    fun takeChanges(): Map<String, Int> {
+    fun takeChanges(): Map<String, Int> = changesSince(takenUpTo) { false }.also { takenUpTo = changeCount }
+
+    /** Calls at this daemon and those that [sources] report, of the programs changed after change [number]. */
+    fun changesSince(number: Long, sources: (String) -> Boolean): Map<String, Int> {
         sweep()
-        val reported = changed.associateWith { counts[it]?.own ?: 0 }
-        changed.clear()
-        return reported
+        return changes.takeLastWhile { it.number > number }.map { it.program }.distinct()
+            .associateWith { callsBehind(it, sources) }.filterValues { it > 0 }
+    }
+
+    private fun callsBehind(program: String, sources: (String) -> Boolean): Int {
+        val count = counts[program] ?: return 0
+        return count.own + count.atPeers.entries.sumOf { if (sources(it.key)) it.value else 0 }
+    }
+
+    /** Only the first call of a program and every [REPORTED_STEP]th one are told to the other daemons. */
+    private fun recordChange(program: String, before: Int, after: Int) {
+        val isReported = before == 0 || before / REPORTED_STEP != after / REPORTED_STEP
+        if (isReported && after > before) changes.addLast(Change(++changeCount, program, clock.now()))
     }
 
     private fun countOf(program: String): Count {
@@ -71,6 +94,7 @@
         if (clock.now() - sweptAt < SWEEP_PERIOD) return
         sweptAt = clock.now()
         counts.values.removeIf { clock.now() - it.at > RETENTION }
+        while (changes.isNotEmpty() && clock.now() - changes.first().at > CHANGE_RETENTION) changes.removeFirst()
     }
 
     private companion object {
@@ -80,5 +104,11 @@
         /** Idle time after which a program is forgotten; programs in progress pause for less. */
         val RETENTION = 60.seconds
         val SWEEP_PERIOD = 5.seconds
+
+        /** Calls after which a program's count is reported again: few messages, and the classes need no exact count. */
+        const val REPORTED_STEP = 4
+
+        /** Longer than any time between two heartbeats to one daemon. */
+        val CHANGE_RETENTION = 10.seconds
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
@@ -30,8 +30,36 @@
     private val sentAt = LinkedHashMap<Long, Duration>()
     private var nextSequence = 0L
 
-    /** Time of the latest heartbeat, or of the registration when none has arrived since. */
-    val lastSeenAt: Duration get() = maxOf(lastHeartbeatAt, firstSeenAt)
+    /** Time at which a relay last reported that it hears this peer. */
+    var relayedAt: Duration = -Duration.INFINITE
+        private set
+
+    /** Whether the latest report of a relay says that callers may use this peer. */
+    var isRelayedReady = false
+        private set
+
+    /** Time of the latest direct or relayed sign of life; -[Duration.INFINITE] when there is none. */
+    val lastAliveAt: Duration get() = maxOf(lastHeartbeatAt, relayedAt)
+
+    /** Time of the latest sign of life, or of the registration when there is none since. */
+    val lastSeenAt: Duration get() = maxOf(lastAliveAt, firstSeenAt)
+
+    /** Whether callers may use this peer, by the later one of its heartbeat and a relay's report. */
+    val isServing: Boolean
+        get() = if (relayedAt > lastHeartbeatAt) {
+            isRelayedReady
+        } else {
+            heartbeat?.isReady == true && heartbeat?.isLeaving == false
+        }
+
+    /** Time at which the message was sent that the latest heartbeat echoes; null when it echoes none. */
+    val echoedSentAt: Duration? get() = heartbeat?.let { sentAt[it.echo] }
+
+    /** Records the report of a relay that it hears this peer. */
+    fun markRelayed(now: Duration, isReady: Boolean) {
+        relayedAt = now
+        isRelayedReady = isReady
+    }
 
     /** Applies a heartbeat that arrived at [now]; returns false when it is a duplicate or arrived out of order. */
     fun applyHeartbeat(next: Heartbeat, now: Duration): Boolean {
@@ -60,11 +88,11 @@
      */
     fun storeContact(): PeerStoreContact? {
         val last = heartbeat
-        val echoedSentAt = last?.let { sentAt[it.echo] }
-        return if (last == null || echoedSentAt == null || last.contactAgeMillis < 0) {
+        val echoed = echoedSentAt
+        return if (last == null || echoed == null || last.contactAgeMillis < 0) {
             null
         } else {
-            PeerStoreContact(echoedSentAt - last.contactAgeMillis.milliseconds, last.configVersion)
+            PeerStoreContact(echoed - last.contactAgeMillis.milliseconds, last.configVersion)
         }
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -11,6 +11,7 @@
  * @property isEntry whether the daemon accepts callers; otherwise it stores the history of turns.
  * @property peerPort UDP and TCP port for the other daemons.
  * @property callers address for callers as `IP:PORT`, empty for history daemons.
+ * @property capacity processor capacity in cores of the reference machine.
  */
 @Serializable
 data class Member(
@@ -22,11 +23,18 @@
     val ip: String,
     val peerPort: Int,
     val callers: String = "",
-)
+    val capacity: Double = 1.0,
+) {
+    /** Short id of this member in lists of daemons within heartbeats. */
+    val shortId: Int get() = name.hashCode()
+}
 
 /**
  * State that a daemon sends to its peers periodically.
  *
+ * Load and usage are those of the daemons behind the sender: its own, and those of the daemons for which it relays to
+ * the receiver. They never include the receiver's.
+ *
  * @property sequence number of this message among those sent to the receiver.
  * @property echo highest sequence number received from the receiver, so that the receiver can date this message.
  * @property isReady whether the daemon is ready to serve; for a history daemon, whether its disk is complete.
@@ -37,6 +45,15 @@
  * @property uses usage of the rate limits by client account.
  * @property crashes number of calls that broke an endpoint, by request fingerprint.
  * @property programs number of calls by program, for the programs whose number changed since the last message.
+ * @property relay name of the entry daemon that relays for the sender, its own name if it is a relay itself; null for
+ * daemons that exchange with every other daemon.
+ * @property isUsageComplete whether [uses] lists every account rather than those that changed recently.
+ * @property ready short ids of the daemons for which the sender relays that callers may use.
+ * @property unready short ids of the other daemons for which the sender relays.
+ * @property relays short ids of the relays that the sender hears and that are not the default ones, told to relays.
+ * @property daemons number of daemons that may be admitting calls, told to daemons that are not relays.
+ * @property silent number among [daemons] whose usage is not known, told to daemons that are not relays.
+ * @property advertised short ids of the daemons that callers should use, told to daemons that are not relays.
  */
 @Serializable
 data class Heartbeat(
@@ -52,10 +69,17 @@
     val uses: List<AccountUsage> = emptyList(),
     val crashes: Map<String, Int> = emptyMap(),
     val programs: Map<String, Int> = emptyMap(),
+    val relay: String? = null,
+    val isUsageComplete: Boolean = false,
+    val ready: List<Int> = emptyList(),
+    val unready: List<Int> = emptyList(),
+    val relays: List<Int> = emptyList(),
+    val daemons: Int = 0,
+    val silent: Int = 0,
+    val advertised: List<Int> = emptyList(),
 ) {
-    /** Copy without load information, which history daemons do not use. */
-    fun withoutLoad(): Heartbeat =
-        copy(inFlight = emptyMap(), uses = emptyList(), crashes = emptyMap(), programs = emptyMap())
+    /** Whether the sender relays for other daemons. */
+    val isFromRelay: Boolean get() = relay == from
 }
 
 /**
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
@@ -11,6 +11,13 @@
 ) {
     private val peers = HashMap<String, Peer>()
 
+    /** The registered daemons except this one by [Member.shortId]. */
+    var byShortId: Map<Int, Peer> = emptyMap()
+        private set
+
+    /** All registered daemons except this one, by name. */
+    val byName: Map<String, Peer> get() = peers
+
     /** All registered daemons except this one. */
     val all: Collection<Peer> get() = peers.values
 
@@ -26,6 +33,7 @@
                 known.member = member
             }
         }
+        byShortId = peers.values.associateBy { it.member.shortId }
     }
 
     /**
@@ -35,13 +43,15 @@
     fun applyHeartbeat(heartbeat: Heartbeat): Peer? = peers[heartbeat.from]
         ?.takeIf { it.member.incarnation == heartbeat.incarnation && it.applyHeartbeat(heartbeat, clock.now()) }
 
-    /** Whether a heartbeat of [peer] arrived recently. */
-    fun isAlive(peer: Peer): Boolean = clock.now() - peer.lastHeartbeatAt < ALIVE_TIMEOUT
+    /** Whether a sign of life of [peer] arrived recently, from itself or through a relay. */
+    fun isAlive(peer: Peer): Boolean = clock.now() - peer.lastAliveAt < ALIVE_TIMEOUT
+
+    /** Whether a heartbeat of [peer] itself arrived recently. */
+    fun isHeard(peer: Peer): Boolean = clock.now() - peer.lastHeartbeatAt < ALIVE_TIMEOUT
 
     /** Entry daemons that callers may be sent to: alive, ready and not stopping. */
     fun servingEntries(): List<Member> = peers.values
-        .filter { it.member.isEntry && isAlive(it) }
-        .filter { it.heartbeat?.isReady == true && it.heartbeat?.isLeaving == false }
+        .filter { it.member.isEntry && isAlive(it) && it.isServing }
         .map { it.member }
 
     /** Number of entry daemons that may be admitting calls, this one included. */
@@ -49,14 +59,15 @@
 
     /** Number of entry daemons that may be admitting calls without their rate limit usage being known here. */
     fun unresponsiveEntryCount(): Int = peers.values.count {
-        it.member.isEntry && mayAdmitCalls(it) && clock.now() - it.lastHeartbeatAt > USAGE_UNKNOWN_AFTER
+        it.member.isEntry && mayAdmitCalls(it) && clock.now() - it.lastAliveAt > USAGE_UNKNOWN_AFTER
     }
 
     /** Registered history daemons. */
     fun historyDaemons(): List<Peer> = peers.values.filter { !it.member.isEntry }
 
     /** Daemons that have sent no heartbeat for so long that their registrations can be removed. */
-    fun expired(): List<Member> = peers.values.filter { clock.now() - it.lastSeenAt > EXPIRED_AFTER }.map { it.member }
+    val expired: List<Member>
+        get() = peers.values.filter { clock.now() - it.lastSeenAt > EXPIRED_AFTER }.map { it.member }
 
     /**
      * A daemon that sends no heartbeats is assumed to have lost contact with the store as well, and without that
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -34,6 +34,7 @@
  * @property dataDirectory directory of the history log, history role only.
  * @property isFirstStart whether the whole system starts for the first time, so that an empty disk is complete.
  * @property toleratedDiskLosses number of disks that may be lost at the same time without losing history.
+ * @property processorCapacity processor capacity of this machine, in cores of the reference machine.
  */
 data class NodeSettings(
     val name: String,
@@ -50,4 +51,5 @@
     val isFirstStart: Boolean,
     val toleratedDiskLosses: Int,
     val bounds: PromisedBounds,
+    val processorCapacity: Double = 1.0,
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectMirror.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectMirror.kt
@@ -10,12 +10,17 @@
     fun after(delay: Duration, action: () -> Unit)
 }
 
-/** Collaborators shared by all mirrors of a daemon. */
+/**
+ * Collaborators of the mirrors of a daemon.
+ *
+ * @property watchPause time between a change and the next watch, in which further changes gather.
+ */
 data class MirrorContext(
     val client: ObjectStoreClient,
     val clock: MonotonicClock,
     val scheduler: Scheduler,
     val log: EventLog,
+    val watchPause: () -> Duration = { Duration.ZERO },
 )
 
 /**
@@ -95,7 +100,7 @@
         revision = asOf
         isLoaded = true
         onChange(cache.all)
-        watch()
+        watchAfterPause(hasChanged = true)
     }
 
     private fun watch() {
@@ -104,7 +109,7 @@
                 is StoreReply.Success -> {
                     applyChanges(reply.value.objects)
                     revision = maxOf(revision, reply.value.revision)
-                    watch()
+                    watchAfterPause(hasChanged = reply.value.objects.isNotEmpty())
                 }
                 is StoreReply.HistoryGone -> {
                     context.log.event("mirror-history-gone", "kind" to kind, "revision" to revision)
@@ -115,6 +120,11 @@
         }
     }
 
+    private fun watchAfterPause(hasChanged: Boolean) {
+        val pause = if (hasChanged) context.watchPause() else Duration.ZERO
+        if (pause > Duration.ZERO) context.scheduler.after(pause, ::watch) else watch()
+    }
+
     private fun applyChanges(objects: List<StoredObject>) {
         outage.recordSuccess()
         if (objects.map { cache.apply(it) }.any { it }) onChange(cache.all)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -31,14 +31,25 @@
     private var isConnecting = false
     private var retryAt = Duration.ZERO
     private var nextNumber = 0L
-    private val pending = HashMap<Long, (HistoryReply?) -> Unit>()
+    private class Pending(val sentAt: Duration, val onReply: (HistoryReply?) -> Unit)
+
+    private val pending = LinkedHashMap<Long, Pending>()
+    private var hasFailed = false
+
+    /** Whether the daemon has replied to the latest requests, or is being asked for the first time. */
+    val isResponsive: Boolean
+        get() {
+            val oldest = pending.values.firstOrNull()
+            return !hasFailed && (oldest == null || clock.now() - oldest.sentAt < SLOW_REPLY)
+        }
+
     private val unsent = ArrayList<RequestFrame>()
 
     /** Sends [request] for the group of [epoch]; [onReply] gets null when no reply arrives within [timeout]. */
     fun send(epoch: Long, request: HistoryRequest, timeout: Duration, onReply: (HistoryReply?) -> Unit) {
         val number = nextNumber++
-        pending[number] = onReply
-        group.next().schedule({ complete(number, null) }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        pending[number] = Pending(clock.now(), onReply)
+        group.next().schedule({ timedOut(number) }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         val open = channel
         if (open != null) {
             open.writeFrame(peerCbor.encodeToByteArray(RequestFrame(number, epoch, request)))
@@ -55,7 +66,14 @@
     }
 
     private fun complete(number: Long, reply: HistoryReply?) {
-        pending.remove(number)?.invoke(reply)
+        hasFailed = false
+        pending.remove(number)?.onReply?.invoke(reply)
+    }
+
+    private fun timedOut(number: Long) {
+        val request = pending.remove(number) ?: return
+        hasFailed = true
+        request.onReply(null)
     }
 
     private fun connect() {
@@ -91,10 +109,11 @@
     }
 
     private fun failAll() {
+        hasFailed = true
         unsent.clear()
-        val callbacks = pending.values.toList()
+        val failed = pending.values.toList()
         pending.clear()
-        callbacks.forEach { it(null) }
+        failed.forEach { it.onReply(null) }
     }
 
     private inner class ReplyHandler : ChannelInboundHandlerAdapter() {
@@ -124,6 +143,9 @@
         /** Daemons of the same region accept a connection within milliseconds. */
         val CONNECT_TIMEOUT = 500.milliseconds
 
+        /** Many times a round trip with a sync; a daemon that takes longer is not waited for. */
+        val SLOW_REPLY = 200.milliseconds
+
         /** Time after a failed connection attempt in which requests fail without another one. */
         val RECONNECT_BACKOFF = 100.milliseconds
     }
--- /dev/null
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/FleetExchangeTest.kt
@@ -0,0 +1,160 @@
+package io.jasmineford.gateway.daemon
+
+import io.jasmineford.gateway.account
+import io.jasmineford.gateway.endpoint
+import io.jasmineford.gateway.limit.RateLimitDecision
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Exchange of heartbeats in fleets of different sizes. Guards against traffic that grows with the square of the fleet,
+ * and against losing what relays pass on: load, usage of rate limits, liveness and contact with the store.
+ */
+class FleetExchangeTest {
+    @Test
+    fun `heartbeats for each daemon do not grow from 30 to 300 daemons`() {
+        val (smallCount, smallBytes) = trafficForEach(30)
+        val (largeCount, largeBytes) = trafficForEach(300)
+        assertTrue(largeCount <= smallCount * 1.3, "datagrams a daemon and second: 30 $smallCount, 300 $largeCount")
+        assertTrue(largeBytes <= smallBytes * 1.5, "bytes a daemon and second: 30 $smallBytes, 300 $largeBytes")
+    }
+
+    @Test
+    fun `the heartbeats of a start are linear in the number of daemons`() {
+        fun firstSecond(size: Int) = VirtualFleet(size).also { it.run(1.seconds) }.sent.values.sum().toDouble() / size
+        assertTrue(firstSecond(300) <= firstSecond(30) * 1.3, "30: ${firstSecond(30)}, 300: ${firstSecond(300)}")
+    }
+
+    /** Mean datagrams and bytes that a daemon sends in a second while it is idle. */
+    private fun trafficForEach(size: Int): Pair<Double, Double> {
+        val fleet = VirtualFleet(size)
+        fleet.run(3.seconds)
+        fleet.resetCounts()
+        fleet.run(5.seconds)
+        return fleet.sent.values.sum() / 5.0 / size to fleet.sentBytes.values.sum() / 5.0 / size
+    }
+
+    @Test
+    fun `every daemon sees the calls in flight of all others once`() {
+        listOf(8, 40, 120).forEach { size ->
+            val fleet = VirtualFleet(size)
+            fleet.daemons.forEach { it.state.directory.replace(listOf(endpoint("e1", slots = 1000))) }
+            fleet.daemons.forEach { it.state.directory.all.single().inFlight = 1 }
+            fleet.run(3.seconds)
+            val seen = fleet.daemons.map { it.state.directory.all.single().inFlightAtPeers }
+            assertEquals(List(size) { size - 1 }, seen)
+        }
+    }
+
+    @Test
+    fun `the contact of one daemon with the store keeps all daemons in contact`() {
+        val fleet = VirtualFleet(120, lossRate = 0.02)
+        var oldest = Duration.ZERO
+        fleet.runEvery(1.seconds, 20.seconds) {
+            fleet.daemons.first().contact.confirm(fleet.clock.now())
+            if (fleet.clock.now() > 3.seconds) {
+                oldest = maxOf(oldest, fleet.daemons.maxOf { it.contact.age() })
+            }
+        }
+        assertTrue(oldest < 2.2.seconds, "oldest contact $oldest")
+    }
+
+    @Test
+    fun `a daemon whose relays are all cut off is served by another one`() {
+        val fleet = VirtualFleet(60)
+        fleet.run(3.seconds)
+        val relays = fleet.daemons.filter { it.exchange.isRelay() && it.member.zone == "zone-0" }
+        assertEquals(3, relays.size)
+        fleet.cutOff(relays)
+        fleet.runEvery(500.milliseconds, 6.seconds) { fleet.daemons[1].contact.confirm(fleet.clock.now()) }
+        val others = fleet.daemons - relays.toSet()
+        assertTrue(others.all { it.contact.age() < 2.seconds }, "ages ${others.map { it.contact.age() }}")
+        val advertised = others.flatMap { it.exchange.advertised(isSelfServing = true) }.map { it.name }.toSet()
+        assertEquals(emptySet(), advertised intersect relays.map { it.member.name }.toSet())
+        fleet.heal()
+        fleet.run(12.seconds)
+        assertEquals(9, fleet.daemons.count { it.exchange.isRelay() })
+    }
+
+    @Test
+    fun `callers are sent to the largest daemons of each zone, and to the next ones when these are gone`() {
+        val fleet = VirtualFleet(60, capacityOf = { if (it < 9) 1.5 else 0.36 })
+        fleet.run(3.seconds)
+        val large = fleet.daemons.take(9)
+        fleet.daemons.forEach { daemon ->
+            val names = daemon.exchange.advertised(isSelfServing = true).map { it.name }.toSet()
+            assertEquals(large.map { it.member.name }.toSet(), names)
+        }
+        fleet.cutOff(large)
+        fleet.run(6.seconds)
+        (fleet.daemons - large.toSet()).forEach { daemon ->
+            val advertised = daemon.exchange.advertised(isSelfServing = true)
+            assertEquals(emptySet(), advertised.toSet() intersect large.map { it.member }.toSet())
+            assertTrue(advertised.count { it.zone == daemon.member.zone } >= 3, "${daemon.member.name}: $advertised")
+        }
+    }
+
+    @Test
+    fun `an account that sends seven times its rate to daemons of any number stays within the tolerance`() {
+        listOf(10, 40, 100).forEach { size ->
+            SEEDS.forEach { seed ->
+                val (most, _) = admittedCalls(size, seed, offeredPerSecond = 7 * 35.0)
+                assertTrue(most <= TOLERATED, "size=$size seed=$seed most=$most of $TOLERATED")
+            }
+        }
+    }
+
+    @Test
+    fun `the tolerance holds while relays are cut off from the others`() {
+        SEEDS.forEach { seed ->
+            val (most, _) = admittedCalls(size = 40, seed, offeredPerSecond = 7 * 35.0, cutRelays = 4)
+            assertTrue(most <= TOLERATED, "seed=$seed most=$most of $TOLERATED")
+        }
+    }
+
+    @Test
+    fun `an account below its rate is never refused in a fleet with relays`() {
+        SEEDS.forEach { seed ->
+            val (_, refused) = admittedCalls(size = 100, seed, offeredPerSecond = 0.7 * 35.0)
+            assertEquals(0, refused, "seed=$seed")
+        }
+    }
+
+    /** Most calls admitted in any 5 s and number of refused calls, of an account whose calls reach random daemons. */
+    private fun admittedCalls(size: Int, seed: Int, offeredPerSecond: Double, cutRelays: Int = 0): Pair<Int, Int> {
+        val random = Random(seed)
+        val club = account(35.0, 35.0)
+        val fleet = VirtualFleet(size, random = random, accounts = listOf(club))
+        fleet.run(10.seconds)
+        val admitted = ArrayList<Duration>()
+        var refused = 0
+        val start = fleet.clock.now()
+        var nextReport = start
+        while (fleet.clock.now() < start + 12.seconds) {
+            fleet.run((1000 / offeredPerSecond * (0.5 + random.nextDouble())).milliseconds)
+            val isCutTime = fleet.clock.now() > start + 4.seconds && fleet.clock.now() < start + 8.seconds
+            fleet.heal()
+            if (isCutTime) fleet.cutOff(fleet.daemons.filter { it.exchange.isRelay() }.take(cutRelays))
+            val decision = fleet.daemons.random(random).state.rateLimiter.admit(club)
+            if (decision is RateLimitDecision.Admitted) admitted.add(fleet.clock.now()) else refused++
+            if (fleet.clock.now() >= nextReport) {
+                nextReport = fleet.clock.now() + 50.milliseconds
+                fleet.daemons.forEach { it.reportUsage() }
+            }
+        }
+        val most = admitted.indices.maxOf { first -> admitted.drop(first).count { it - admitted[first] < 5.seconds } }
+        return most to refused
+    }
+
+    private companion object {
+        val SEEDS = 1..6
+
+        /** Calls that the tolerance allows an account of 35 calls a second and a burst of 35 in 5 s. */
+        const val TOLERATED = (35.0 * 5 + 35) * 1.1 + 20
+    }
+}
--- /dev/null
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
@@ -0,0 +1,138 @@
+package io.jasmineford.gateway.daemon
+
+import io.jasmineford.core.time.VirtualClock
+import io.jasmineford.gateway.VirtualScheduler
+import io.jasmineford.gateway.config.CallLimits
+import io.jasmineford.gateway.config.ClientAccount
+import io.jasmineford.gateway.config.GatewayConfig
+import io.jasmineford.gateway.limit.RateLimitTolerance
+import io.jasmineford.gateway.peer.EntryExchange
+import io.jasmineford.gateway.peer.Heartbeat
+import io.jasmineford.gateway.peer.Member
+import io.jasmineford.gateway.peer.Peer
+import io.jasmineford.gateway.peer.PeerTable
+import io.jasmineford.gateway.peer.peerCbor
+import io.jasmineford.gateway.store.StoreContact
+import kotlinx.serialization.encodeToByteArray
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Entry daemons that exchange heartbeats over a network in virtual time. */
+internal class VirtualFleet(
+    size: Int,
+    private val zones: Int = 3,
+    private val random: Random = Random(1),
+    private val lossRate: Double = 0.0,
+    accounts: List<ClientAccount> = emptyList(),
+    private val capacityOf: (Int) -> Double = { 1.0 },
+) {
+    val clock = VirtualClock()
+    private val scheduler = VirtualScheduler(clock)
+    private val config = GatewayConfig(1, emptyList(), emptyList(), accounts, LIMITS)
+    private val cut = HashSet<String>()
+
+    /** Datagrams sent by the name of the sender, and their bytes. */
+    val sent = HashMap<String, Int>()
+    val sentBytes = HashMap<String, Long>()
+
+    val daemons: List<VirtualEntry> = List(size) { VirtualEntry(memberOf(it, incarnation = 1)) }
+        .also { list -> list.forEach { it.registered(list.map(VirtualEntry::member)) } }
+    private val byName = daemons.associateBy { it.member.name }.toMutableMap()
+
+    init {
+        daemons.forEach { it.start() }
+    }
+
+    fun run(time: Duration) = scheduler.advance(time)
+
+    /** Calls [action] every [period] for [time]. */
+    fun runEvery(period: Duration, time: Duration, action: () -> Unit) {
+        val end = clock.now() + time
+        while (clock.now() < end) {
+            action()
+            run(period)
+        }
+    }
+
+    /** Drops all datagrams to and from [daemons]. */
+    fun cutOff(daemons: Collection<VirtualEntry>) {
+        cut += daemons.map { it.member.name }
+    }
+
+    /** Ends the effect of [cutOff] for all daemons. */
+    fun heal() = cut.clear()
+
+    fun resetCounts() {
+        sent.clear()
+        sentBytes.clear()
+    }
+
+    private fun memberOf(index: Int, incarnation: Long): Member {
+        val zone = "zone-${index % zones}"
+        val name = "edge-%03d".format(index)
+        return Member(name, incarnation, zone, "r", true, "10.0.0.1", 1, "$name:80", capacityOf(index))
+    }
+
+    private fun deliver(from: String, to: String, heartbeat: Heartbeat) {
+        sent.merge(from, 1, Int::plus)
+        sentBytes.merge(from, peerCbor.encodeToByteArray(heartbeat).size.toLong(), Long::plus)
+        val isLost = from in cut || to in cut || random.nextDouble() < lossRate
+        if (!isLost) scheduler.after(NETWORK_DELAY) { if (to !in cut) byName[to]?.receive(heartbeat) }
+    }
+
+    inner class VirtualEntry(val member: Member) {
+        val table = PeerTable(member, clock)
+        val exchange = EntryExchange(member, table, clock)
+        val contact = StoreContact(clock) { clock.now().inWholeMilliseconds }
+        val state = EntryState(
+            self = member,
+            clock = clock,
+            tolerance = TOLERANCE,
+            storeState = { StoreState(contact, config) },
+            peers = { table },
+            exchange = { exchange },
+        )
+
+        fun registered(members: List<Member>) {
+            table.replaceMembers(members)
+            exchange.membersChanged()
+        }
+
+        fun start() = scheduler.after(HEARTBEAT_PERIOD * random.nextDouble()) { beat() }
+
+        private fun beat() {
+            sendAll()
+            scheduler.after(HEARTBEAT_PERIOD) { beat() }
+        }
+
+        fun sendAll() = exchange.targets().forEach(::send)
+
+        fun reportUsage() {
+            if (!state.rateLimiter.hasUnreportedUsage()) return
+            state.rateLimiter.markReported()
+            sendAll()
+        }
+
+        private fun send(peer: Peer) {
+            val heartbeat = state.heartbeat(isReady = true, isLeaving = false, receiver = peer)
+            val next = heartbeat.copy(sequence = peer.nextSequence(clock.now()), echo = peer.highestReceived)
+            deliver(member.name, peer.member.name, next)
+        }
+
+        fun receive(heartbeat: Heartbeat) {
+            val peer = table.applyHeartbeat(heartbeat) ?: return
+            val expectsReply = exchange.onHeartbeat(peer)
+            state.applyHeartbeat(peer)
+            if (expectsReply) send(peer)
+        }
+    }
+
+    companion object {
+        val HEARTBEAT_PERIOD = 200.milliseconds
+        val NETWORK_DELAY = 1.milliseconds
+        val TOLERANCE = RateLimitTolerance(window = 5.seconds, excess = 0.1, slack = 20.0)
+        private val LIMITS = CallLimits(8192, 65_536, 3.seconds, 15.seconds)
+    }
+}
