Divide the cold rate of an endpoint among more daemons than it has calls

Cause: each daemon took at least one call a window, so 83 daemons could send 83 calls a second to an endpoint that is warming up, where 27 x 1.5 + 5 = 45.5 are tolerated. Change: with more daemons than calls, the daemons that come first in an order by the endpoint's id send one each, the relays before the others, and the rest none; no message is needed for it. Result: EndpointChooserTest at 6, 40, 83 and 300 daemons in one moment stays within the bound; the old rule gives the number of daemons, 83 and 300.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -9,6 +9,7 @@
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
+import io.jasmineford.gateway.endpoint.SendingDaemons
 import io.jasmineford.gateway.http.CallerServer
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
@@ -50,7 +51,12 @@
     private val peers: PeerTable get() = membership.peers
     private val exchange: EntryExchange = EntryExchange(node.self, membership.peers, node.clock)
     private val dispatcher = Dispatcher(
-        chooser = EndpointChooser(state.directory, node.settings.zone, node.clock) { exchange.daemonCount() },
+        chooser = EndpointChooser(
+            directory = state.directory,
+            zone = node.settings.zone,
+            clock = node.clock,
+            daemons = SendingDaemons({ exchange.selection.entryCount }, { exchange.selection.rankFor(it) }),
+        ),
         clock = node.clock,
     )
     private val sender = EndpointSender(node.group, node.clock, names, state.directory::isUsable)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -15,6 +15,17 @@
     val tried: Set<String> = emptySet(),
 )
 
+/**
+ * This daemon among those that send calls.
+ *
+ * @property count number of daemons that send calls, this one included.
+ * @property rankOf rank of this daemon, from 0, in an order of all daemons that depends on a key only.
+ */
+class SendingDaemons(
+    val count: () -> Int,
+    val rankOf: (key: String) -> Int = { 0 },
+)
+
 /**
  * Load balancer: chooses an endpoint for a call, or none when all are at capacity.
  *
@@ -23,13 +34,13 @@
  * refused.
  *
  * @param zone availability zone of this daemon.
- * @param daemonCount number of daemons that send calls, this one included.
+ * @param daemons the daemons that share an endpoint's cold rate.
  */
 class EndpointChooser(
     private val directory: EndpointDirectory,
     private val zone: String,
     private val clock: MonotonicClock,
-    private val daemonCount: () -> Int,
+    private val daemons: SendingDaemons,
 ) {
     /** Returns the endpoint for [request] and counts the call against its cold rate; null when the call has to wait. */
     fun choose(request: PlacementRequest): EndpointState? {
@@ -59,10 +70,17 @@
     private fun tryTakeColdSlot(state: EndpointState, service: Service): Boolean {
         val now = clock.now()
         if (service.coldRate <= 0 || state.coldUntil <= now) return true
-        val limit = (service.coldRate * COLD_RATE_FRACTION / daemonCount().coerceAtLeast(1)).toInt().coerceAtLeast(1)
+        val limit = coldLimit((service.coldRate * COLD_RATE_FRACTION).toInt().coerceAtLeast(1), state.endpoint.id)
         return state.coldRateLimiter.tryTake(now, limit)
     }
 
+    /** Calls that this daemon may send to a cold endpoint per window, if all daemons together may send [total]. */
+    private fun coldLimit(total: Int, endpointId: String): Int {
+        val count = daemons.count().coerceAtLeast(1)
+        // With more daemons than calls, some daemons get one call each and the others none.
+        return if (count <= total) total / count else if (daemons.rankOf(endpointId) < total) 1 else 0
+    }
+
     private companion object {
         /** Load at which an endpoint gets no more calls, as all its slots are in use. */
         const val FULL_LOAD = 1.0
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
@@ -35,7 +35,8 @@
     private val peers: PeerTable,
     private val clock: MonotonicClock,
 ) {
-    private val selection = RelaySelection(self, clock)
+    /** The registered entry daemons and the relays among them. */
+    val selection = RelaySelection(self, clock)
     private val advertisedDaemons = AdvertisedDaemons(clock)
     private val reportedRelays = HashMap<Int, Duration>()
     private var used: Member? = null
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.peer
 
 import io.jasmineford.core.time.MonotonicClock
+import java.util.zip.CRC32C
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -28,6 +29,19 @@
     var defaultRelays: List<Member> = listOf(self)
         private set
 
+    /** Number of entry daemons, this one included. */
+    val entryCount: Int get() = ranked.values.sumOf { it.size }
+
+    /** Rank of this daemon, from 0, in an order of all entry daemons by [key]; the default relays come first. */
+    fun rankFor(key: String): Int {
+        val defaults = defaultRelays.map { it.name }.toSet()
+        val order = compareBy<String>({ it !in defaults }, { hash(key, it) }, { it })
+        return ranked.values.sumOf { zone -> zone.count { order.compare(it.name, self.name) < 0 } }
+    }
+
+    private fun hash(key: String, name: String): Long =
+        CRC32C().apply { update("$name/$key".toByteArray()) }.value
+
     /** Relays of this daemon's availability zone in its own view. */
     val ownRelays: List<Member>
         get() {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/EndpointChooserTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/EndpointChooserTest.kt
@@ -3,6 +3,8 @@
 import io.jasmineford.core.time.VirtualClock
 import io.jasmineford.gateway.config.Service
 import io.jasmineford.gateway.endpoint
+import io.jasmineford.gateway.peer.Member
+import io.jasmineford.gateway.peer.RelaySelection
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
@@ -13,7 +15,7 @@
 class EndpointChooserTest {
     private val clock = VirtualClock()
     private val directory = EndpointDirectory(clock)
-    private val chooser = EndpointChooser(directory, zone = "a", clock = clock) { 6 }
+    private val chooser = EndpointChooser(directory, zone = "a", clock = clock, SendingDaemons({ 6 }))
     private val service = Service("models", coldRate = 52.0)
 
     private fun choose(affinity: String? = null, tried: Set<String> = emptySet()) =
@@ -73,10 +75,31 @@
         repeat(50) { assertNotNull(choose()) }
     }
 
+    @Test
+    fun `any number of daemons together respect the cold rate of an endpoint that is warming up`() {
+        listOf(6, 40, 83, 300).forEach { size ->
+            val clock = VirtualClock()
+            val members = List(size) {
+                Member("edge-$it", 1, "zone-${it % 5}", "r", isEntry = true, ip = "", peerPort = 1)
+            }
+            val choosers = members.map { self ->
+                val directory = EndpointDirectory(clock)
+                directory.replace(listOf(endpoint("e1", slots = 1000, coldForMillis = 3000)))
+                val selection = RelaySelection(self, clock).apply { replaceEntries(members) }
+                val daemons = SendingDaemons({ selection.entryCount }, selection::rankFor)
+                EndpointChooser(directory, zone = "a", clock = clock, daemons)
+            }
+            val request = PlacementRequest(Service("models", coldRate = 27.0), affinity = null)
+            val sent = choosers.count { it.choose(request) != null }
+            assertTrue(sent > 0, "size=$size")
+            assertTrue(sent <= 27.0 * 1.5 + 5, "size=$size sent $sent in one moment")
+        }
+    }
+
     @Test
     fun `all daemons prefer the same endpoint for a program`() {
         directory.replace(List(6) { endpoint("e$it") })
-        val other = EndpointChooser(directory, zone = "a", clock = clock) { 6 }
+        val other = EndpointChooser(directory, zone = "a", clock = clock, SendingDaemons({ 6 }))
         repeat(20) { index ->
             val request = PlacementRequest(service, affinity = "program-$index")
             assertEquals(other.choose(request)?.endpoint?.id, chooser.choose(request)?.endpoint?.id)
