--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -140,6 +140,7 @@
     }
 
     private fun tick() {
+        state.countInFlight()
         contactProber.probeIfDue()
         if (state.rateLimiter.hasUnreportedUsage()) {
             state.rateLimiter.markReported()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -9,6 +9,7 @@
 import io.jasmineford.gateway.limit.RateLimitTolerance
 import io.jasmineford.gateway.limit.UsageReport
 import io.jasmineford.gateway.limit.UsageSource
+import io.jasmineford.gateway.peer.Cached
 import io.jasmineford.gateway.peer.EntryExchange
 import io.jasmineford.gateway.peer.Heartbeat
 import io.jasmineford.gateway.peer.Member
@@ -16,6 +17,8 @@
 import io.jasmineford.gateway.peer.PeerRole
 import io.jasmineford.gateway.peer.PeerTable
 import io.jasmineford.gateway.store.StoreContact
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Contact with the platform's store and the configuration in force, null before one is known. */
@@ -37,6 +40,11 @@
 ) {
     private val startedAt = clock.now()
     private val programsTold = HashMap<String, Long>()
+    private val currentNeighbours = Cached(clock) {
+        val table = peers()
+        table.all.filter { it.member.isEntry && table.isHeard(it) && exchange().roleOf(it) != PeerRole.OTHER }
+    }
+    private var countedAt = -Duration.INFINITE
 
     /** Endpoints with their calls in flight. */
     val directory = EndpointDirectory(clock)
@@ -53,6 +61,7 @@
         tolerance = tolerance,
         unresponsiveDaemons = { exchange().silentCount() },
         daemonCount = { exchange().daemonCount() },
+        reportDelay = { if (exchange().selection.isMesh) Duration.ZERO else RELAYED_REPORT_DELAY },
     )
 
     /** Heartbeat for [receiver] with this daemon's state. */
@@ -100,22 +109,18 @@
         // A peer with a newer configuration version confirms that version, not the one in force here.
         val confirmation = peer.storeContact()?.takeIf { it.configVersion <= (config?.version ?: -1) }
         if (confirmation != null) contact.confirm(confirmation.confirmedAt)
-        countInFlight()
+        if (clock.now() - countedAt > COUNT_PERIOD) countInFlight()
     }
 
     /** Sums the calls in flight that the live neighbours report for each endpoint. */
     fun countInFlight() {
-        val neighbours = neighbours()
+        countedAt = clock.now()
+        val neighbours = currentNeighbours.value
         directory.all.forEach { state ->
             state.inFlightAtPeers = neighbours.sumOf { it.heartbeat?.inFlight?.get(state.endpoint.id) ?: 0 }
         }
     }
 
-    private fun neighbours(): List<Peer> {
-        val table = peers()
-        return table.all.filter { it.member.isEntry && table.isHeard(it) && exchange().roleOf(it) != PeerRole.OTHER }
-    }
-
     /**
      * Tells by name and role whether what a neighbour reports is passed on to [receiver]: to a leaf all but its own, to
      * another relay what the leaves report, and nothing by a daemon that is not a relay.
@@ -135,7 +140,9 @@
     }
 
     private fun inFlightBehind(forwards: (String, Boolean) -> Boolean): Map<String, Int> {
-        val neighbours = neighbours().filter { forwards(it.member.name, exchange().roleOf(it) != PeerRole.LEAF) }
+        val neighbours = currentNeighbours.value.filter {
+            forwards(it.member.name, exchange().roleOf(it) != PeerRole.LEAF)
+        }
         val total = HashMap<String, Int>()
         directory.all.forEach { if (it.inFlight > 0) total[it.endpoint.id] = it.inFlight }
         neighbours.forEach { peer ->
@@ -150,5 +157,11 @@
     private companion object {
         /** Time from its registration in which the whole usage of a daemon is recent. */
         val NEW_PEER_TIME = 3.seconds
+
+        /** Mean age of the other daemons' usage, through up to two relays. */
+        val RELAYED_REPORT_DELAY = 200.milliseconds
+
+        /** Shortest time between two sums of the calls in flight; short relative to the period of heartbeats. */
+        val COUNT_PERIOD = 20.milliseconds
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
@@ -91,12 +91,14 @@
  *
  * @param unresponsiveDaemons number of registered daemons without a recent heartbeat.
  * @param daemonCount number of registered daemons, this one included.
+ * @param reportDelay age of the other daemons' reports, for which room is left for their calls.
  */
 class AccountRateLimiter(
     private val clock: MonotonicClock,
     private val tolerance: RateLimitTolerance,
     private val unresponsiveDaemons: () -> Int,
     private val daemonCount: () -> Int,
+    private val reportDelay: () -> Duration = { Duration.ZERO },
 ) {
     private val startedAt = clock.now()
     private val buckets = HashMap<String, Bucket>()
@@ -159,9 +161,10 @@
      * Usage at this daemon and behind [sources] together, of every account that had calls if [isComplete], else of
      * those whose usage has changed recently.
      */
-    fun usage(isComplete: Boolean, sources: (UsageSource) -> Boolean): List<AccountUsage> = buckets
-        .filter { (_, bucket) -> isComplete || clock.now() - bucket.changedAt < REPEAT_TIME }
-        .map { (_, bucket) -> bucket.usage(sources) }
+    fun usage(isComplete: Boolean, sources: (UsageSource) -> Boolean): List<AccountUsage> {
+        val since = if (isComplete) -Duration.INFINITE else clock.now() - REPEAT_TIME
+        return buckets.values.filter { it.changedAt > since }.map { it.usage(sources) }
+    }
 
     /** Whether the usage since the last [markReported] is large enough to be reported at once. */
     fun hasUnreportedUsage(): Boolean = buckets.values.any { it.hasUnreportedUsage() }
@@ -278,7 +281,7 @@
             val isBusy = demand.local + elsewhere > account.ratePerSecond * BUSY_RATE_FRACTION
             val isLimited = admissionClass == AdmissionClass.NEW && isBusy
             val fraction = if (isLimited) BUSY_NEW_THRESHOLD else baseThreshold(admissionClass)
-            val unreported = elsewhere * REPORT_DELAY.toDouble(DurationUnit.SECONDS)
+            val unreported = elsewhere * reportDelay().toDouble(DurationUnit.SECONDS)
             val lowest = capacity * UNDER_WAY_THRESHOLD + unreported.coerceAtMost(capacity * MAX_UNREPORTED)
             return maxOf(capacity * fraction, lowest)
         }
@@ -329,9 +332,6 @@
             AdmissionClass.EXCESSIVE -> EXCESSIVE_THRESHOLD
         }
 
-        /** Mean age of the other daemons' reports, through up to two relays. */
-        val REPORT_DELAY = 200.milliseconds
-
         /** Largest fraction of the capacity that is kept for calls not yet reported. */
         const val MAX_UNREPORTED = 0.35
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
@@ -23,6 +23,9 @@
     OTHER,
 }
 
+/** Number of entry daemons that may be admitting calls, and of those among them whose usage is not known. */
+private data class FleetCounts(val daemons: Int, val silent: Int)
+
 /**
  * Decides with which entry daemons this one exchanges heartbeats, and keeps what relays report about the others.
  *
@@ -39,12 +42,20 @@
     val selection = RelaySelection(self, clock)
     private val advertisedDaemons = AdvertisedDaemons(clock)
     private val reportedRelays = HashMap<Int, Duration>()
+    private val counts = Cached(clock) {
+        val isOwn = isRelay()
+        val report = if (isOwn) null else reportOfRelay
+        val daemons = report?.daemons?.takeIf { it > 0 } ?: peers.entryCount()
+        FleetCounts(daemons, silent = if (isOwn) peers.unresponsiveEntryCount() else report?.silent ?: (daemons - 1))
+    }
+    private val currentLeaves = Cached(clock) {
+        peers.all.filter { it.heartbeat?.relay == self.name && peers.isHeard(it) }
+    }
     private var used: Member? = null
     private var usedSince = -Duration.INFINITE
 
     /** Daemons that use this one as their relay and were heard recently. */
-    private val leaves: List<Peer>
-        get() = peers.all.filter { it.heartbeat?.relay == self.name && peers.isHeard(it) }
+    private val leaves: List<Peer> get() = currentLeaves.value
 
     /** The relay that this daemon uses; null when it is one itself. */
     private val relay: Member? get() = if (isRelay()) null else selection.relay()
@@ -56,8 +67,9 @@
             ?.heartbeat?.takeIf { it.isFromRelay }
 
     private val heardRelays: List<Peer>
-        get() = peers.all.filter {
-            it.heartbeat?.isFromRelay == true && clock.now() - it.lastHeartbeatAt < RELAY_MEMORY
+        get() {
+            val since = clock.now() - RELAY_MEMORY
+            return peers.all.filter { it.lastHeartbeatAt > since && it.heartbeat?.isFromRelay == true }
         }
 
     /** Whether this daemon relays: it is chosen to, or others use it because they suspect the chosen ones. */
@@ -82,6 +94,7 @@
         val heartbeat = peer.heartbeat ?: return false
         val now = clock.now()
         val role = roleOf(peer)
+        if (role == PeerRole.LEAF && peer !in leaves) currentLeaves.invalidate()
         if (heartbeat.isFromRelay) {
             heartbeat.ready.forEach { peers.byShortId[it]?.markRelayed(now, isReady = true) }
             heartbeat.unready.forEach { peers.byShortId[it]?.markRelayed(now, isReady = false) }
@@ -105,13 +118,10 @@
     }
 
     /** Number of entry daemons that may be admitting calls, this one included. */
-    fun daemonCount(): Int = reportOfRelay?.daemons?.takeIf { it > 0 } ?: peers.entryCount()
+    fun daemonCount(): Int = counts.value.daemons
 
     /** Number of entry daemons that may be admitting calls without their rate limit usage being known here. */
-    fun silentCount(): Int = when {
-        isRelay() -> peers.unresponsiveEntryCount()
-        else -> reportOfRelay?.silent ?: (peers.entryCount() - 1)
-    }
+    fun silentCount(): Int = counts.value.silent
 
     /** Entry daemons that callers should use; [isSelfServing] tells whether this daemon itself may be used. */
     fun advertised(isSelfServing: Boolean): List<Member> {
@@ -129,8 +139,8 @@
         !isRelay() -> heartbeat.copy(relay = relay?.name)
         roleOf(receiver) == PeerRole.LEAF -> heartbeat.copy(
             relay = self.name,
-            daemons = peers.entryCount(),
-            silent = peers.unresponsiveEntryCount(),
+            daemons = counts.value.daemons,
+            silent = counts.value.silent,
             advertised = if (advertisedDaemons.takeDue(receiver.member.name)) {
                 advertised(isSelfServing = heartbeat.isReady && !heartbeat.isLeaving).map { it.shortId }
             } else {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.peer
 
 import io.jasmineford.core.time.MonotonicClock
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -50,16 +51,25 @@
     fun isHeard(peer: Peer): Boolean = clock.now() - peer.lastHeartbeatAt < ALIVE_TIMEOUT
 
     /** Entry daemons that callers may be sent to: alive, ready and not stopping. */
-    fun servingEntries(): List<Member> = peers.values
-        .filter { it.member.isEntry && isAlive(it) && it.isServing }
-        .map { it.member }
+    fun servingEntries(): List<Member> {
+        val now = clock.now()
+        return peers.values
+            .filter { it.member.isEntry && now - it.lastAliveAt < ALIVE_TIMEOUT && it.isServing }
+            .map { it.member }
+    }
 
     /** Number of entry daemons that may be admitting calls, this one included. */
-    fun entryCount(): Int = peers.values.count { it.member.isEntry && mayAdmitCalls(it) } + 1
+    fun entryCount(): Int {
+        val now = clock.now()
+        return peers.values.count { it.member.isEntry && mayAdmitCalls(it, now) } + 1
+    }
 
     /** Number of entry daemons that may be admitting calls without their rate limit usage being known here. */
-    fun unresponsiveEntryCount(): Int = peers.values.count {
-        it.member.isEntry && mayAdmitCalls(it) && clock.now() - it.lastAliveAt > USAGE_UNKNOWN_AFTER
+    fun unresponsiveEntryCount(): Int {
+        val now = clock.now()
+        return peers.values.count {
+            it.member.isEntry && mayAdmitCalls(it, now) && now - it.lastAliveAt > USAGE_UNKNOWN_AFTER
+        }
     }
 
     /** Registered history daemons. */
@@ -73,7 +83,7 @@
      * A daemon that sends no heartbeats is assumed to have lost contact with the store as well, and without that
      * contact it stops admitting calls with a key.
      */
-    private fun mayAdmitCalls(peer: Peer): Boolean = clock.now() - peer.lastSeenAt < ADMISSION_TIMEOUT
+    private fun mayAdmitCalls(peer: Peer, now: Duration): Boolean = now - peer.lastSeenAt < ADMISSION_TIMEOUT
 
     private companion object {
         /** More than four heartbeat periods of 200 ms, so single lost datagrams do not matter. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
@@ -46,8 +46,10 @@
     val ownRelays: List<Member>
         get() {
             val all = ranked[self.zone].orEmpty()
-            val trusted = all.filter { !isSuspected(it) }
-            return if (isMesh) all else trusted.take(RELAYS_PER_ZONE)
+            if (isMesh) return all
+            val now = clock.now()
+            suspectedUntil.values.removeIf { it <= now }
+            return all.asSequence().filter { it.name !in suspectedUntil }.take(RELAYS_PER_ZONE).toList()
         }
 
     /** Replaces the registered entry daemons; this daemon is added when it is missing. */
@@ -82,8 +84,6 @@
         suspectedUntil.remove(name)
     }
 
-    private fun isSuspected(member: Member) = (suspectedUntil[member.name] ?: -Duration.INFINITE) > clock.now()
-
     companion object {
         /** Largest number of entry daemons that all exchange with each other. */
         const val MAX_MESH_SIZE = 12
