End calls whose endpoint sends bytes without end

Cause: a daemon kept the whole body, or an event without an end, in memory until the call's deadline, and read on a refusal without end; an endpoint in trouble could fill its memory. Change: more than 1 MiB of body or unfinished event breaks the attempt off, the connection is closed and the endpoint is rated as failing; a refusal is read up to 64 KiB and stays a refusal.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -141,6 +141,7 @@
     ) : ResponseListener {
         private val sentAt = clock.now()
         private var refusedStatus: Int? = null
+        private var refusalBytes = 0
 
         override fun belongsToRequest(head: HttpResponse): Boolean =
             head.headers()[names.attemptId]?.let { it == call.attributes.attemptId } ?: true
@@ -166,7 +167,12 @@
         }
 
         override fun onData(data: ByteBuf) {
-            if (refusedStatus == null) attempt.handler.data(data)
+            if (refusedStatus == null) {
+                attempt.handler.data(data)
+                return
+            }
+            refusalBytes += data.readableBytes()
+            if (refusalBytes > MAX_REFUSAL_BYTES) failAttempt("refusal without end")
         }
 
         override fun onEnd() {
@@ -185,5 +191,8 @@
 
     private companion object {
         const val MISDIRECTED = 421
+
+        /** Largest body of a refusal that is read; an endpoint may send one without end. */
+        const val MAX_REFUSAL_BYTES = 65_536
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
@@ -24,6 +24,9 @@
     /** Whether a partial event is buffered. */
     val hasPartial: Boolean get() = pending.size() > 0
 
+    /** Size of the buffered partial event. */
+    val partialBytes: Int get() = pending.size()
+
     /** Consumes [data] and passes each completed event to [onEvent]; events without id and data are dropped. */
     fun read(data: ByteBuf, onEvent: (StreamEvent) -> Unit) {
         while (data.isReadable) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -162,7 +162,13 @@
 
         override fun head(head: ResponseHead) = responseBuffer.onHead(head)
 
-        override fun data(data: ByteBuf) = responseBuffer.onData(data)
+        override fun data(data: ByteBuf) {
+            responseBuffer.onData(data)
+            if (responseBuffer.heldBytes > MAX_HELD_BYTES) {
+                attempt?.cancel()
+                broken("response holds more than $MAX_HELD_BYTES bytes")
+            }
+        }
 
         override fun end(took: Duration) {
             val head = responseBuffer.head
@@ -222,6 +228,12 @@
         /** Maximum number of attempts of one call, including those that endpoints did not run. */
         const val MAX_ATTEMPTS = 4
 
+        /**
+         * Largest body, or event of a stream, that is accepted. A faulty endpoint may send without end, and a daemon has
+         * some ten MB for all its calls.
+         */
+        const val MAX_HELD_BYTES = 1024 * 1024
+
         /** A call with less time left is not retried. */
         val MIN_RETRY_TIME = 20.milliseconds
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ResponseBuffer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ResponseBuffer.kt
@@ -25,6 +25,9 @@
     /** Whether the stream has stopped inside an event. */
     val endsInsideEvent: Boolean get() = isStream && reader.hasPartial
 
+    /** Number of bytes held in memory: the body so far, or an event whose end has not arrived. */
+    val heldBytes: Int get() = if (isStream) reader.partialBytes else buffered.readableBytes()
+
     /** Receives status and headers. */
     fun onHead(head: ResponseHead) {
         this.head = head
