--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -229,8 +229,8 @@
         const val MAX_ATTEMPTS = 4
 
         /**
-         * Largest body, or event of a stream, that is accepted. A faulty endpoint may send without end, and a daemon has
-         * some ten MB for all its calls.
+         * Largest body, or event of a stream, that is accepted. A faulty endpoint may send without end, and a daemon
+         * has some ten MB for all its calls.
          */
         const val MAX_HELD_BYTES = 1024 * 1024
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -38,7 +38,7 @@
         peers = { peers },
         exchange = { exchange },
     )
-    private val view: StoreView = StoreView(node, ::endpointsChanged, ::zonesEvacuated)
+    private val view: StoreView = StoreView(node, ::endpointsChanged, ::zonesEvacuated) { peers.batchTime(it) }
     private val membership: Membership = Membership(
         node = node,
         policy = HeartbeatPolicy(
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
@@ -13,7 +13,6 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonElement
-import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -60,7 +59,7 @@
 
     private val mirror = ObjectMirror(
         kind = ObjectKind.MEMBER,
-        context = node.mirrorContext.copy(watchPause = { REGISTRATION_BATCH_TIME * (1 + Random.nextDouble()) }),
+        context = node.mirrorContext.copy(watchPause = { peers.batchTime(REGISTRATION_BATCH_TIME) }),
         watchWait = WATCH_WAIT,
     ) { apply(it) }
 
@@ -79,9 +78,10 @@
 
     /** Sends a heartbeat to [peer]. */
     fun sendHeartbeat(peer: Peer) {
-        val content = policy.content(peer)
-        val next = content.copy(sequence = peer.nextSequence(node.clock.now()), echo = peer.highestReceived)
-        socket.send(peer.member, next)
+        policy.content(peer).parts().forEach { part ->
+            val next = part.copy(sequence = peer.nextSequence(node.clock.now()), echo = peer.highestReceived)
+            socket.send(peer.member, next)
+        }
     }
 
     /** Removes the registration of [member]. */
@@ -143,8 +143,8 @@
         private val REGISTRATION_RETRY = 500.milliseconds
 
         /**
-         * Shortest time between a change of the registrations and the next watch; up to twice as long. The changes of
-         * many daemons that start together are then read by few calls.
+         * Shortest time between a change of the registrations and the next watch. The changes of many daemons that
+         * start together are then read by few calls.
          */
         private val REGISTRATION_BATCH_TIME = 500.milliseconds
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreView.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreView.kt
@@ -9,7 +9,6 @@
 import io.jasmineford.gateway.store.ObjectMirror
 import io.jasmineford.gateway.store.StoreContact
 import io.jasmineford.gateway.store.StoredObject
-import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -18,11 +17,13 @@
  *
  * @param onEndpoints called with all endpoints that can be decoded, after each change.
  * @param onEvacuations called with the evacuated zones, whose endpoints get no calls.
+ * @param batchTime time for which changes gather, of which the shortest is given, by the size of the fleet.
  */
 internal class StoreView(
     private val node: NodeRuntime,
     private val onEndpoints: (List<Endpoint>) -> Unit,
     private val onEvacuations: (Set<String>) -> Unit,
+    private val batchTime: (Duration) -> Duration,
 ) {
     /** Age of the latest confirmed contact with the store. */
     val contact = StoreContact(node.clock, node.wallMillis)
@@ -36,7 +37,7 @@
     private val endpoints = mirror(
         kind = ObjectKind.ENDPOINT,
         removalGrace = ENDPOINT_REMOVAL_GRACE,
-        context = node.mirrorContext.copy(watchPause = { ENDPOINT_BATCH_TIME * (1 + Random.nextDouble()) }),
+        context = node.mirrorContext.copy(watchPause = { batchTime(ENDPOINT_BATCH_TIME) }),
     ) { applyEndpoints(it) }
     private val evacuations = mirror(ObjectKind.EVACUATION) { objects ->
         node.log.event("evacuations-changed", "zones" to objects.joinToString(",") { it.name })
@@ -112,8 +113,8 @@
         val ENDPOINT_REMOVAL_GRACE = 2200.milliseconds
 
         /**
-         * Shortest time between a change of the endpoints and the next watch; up to twice as long. It is short relative
-         * to the time within which a drain must be followed, and one watch reads the changes of many endpoints.
+         * Shortest time between a change of the endpoints and the next watch. It is short relative to the time within
+         * which a drain must be followed, and one watch reads the changes of many endpoints.
          */
         val ENDPOINT_BATCH_TIME = 300.milliseconds
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
@@ -6,7 +6,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -27,6 +29,7 @@
     /** Binds the socket to [address]. */
     fun open() {
         channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(Receiver()).bind(address).syncUninterruptibly().channel()
     }
 
@@ -37,6 +40,11 @@
         channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), target))
     }
 
+    private companion object {
+        /** Largest UDP datagram. Netty would cut longer ones than 2,048 bytes off, which makes them unreadable. */
+        const val MAX_DATAGRAM_BYTES = 65_535
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             try {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -29,6 +29,9 @@
     val shortId: Int get() = name.hashCode()
 }
 
+/** Rows of usage in one datagram: some 50 bytes each, with room for the rest of the heartbeat. */
+private const val MAX_USES = 800
+
 /**
  * State that a daemon sends to its peers periodically.
  *
@@ -78,6 +81,15 @@
     val silent: Int = 0,
     val advertised: List<Int> = emptyList(),
 ) {
+    /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
+    fun parts(): List<Heartbeat> {
+        val chunks = uses.chunked(MAX_USES)
+        if (chunks.size <= 1) return listOf(this)
+        val first = copy(uses = chunks.first(), isUsageComplete = false)
+        val rest = chunks.drop(1).map { first.copy(uses = it, programs = emptyMap()) }
+        return listOf(first) + rest.dropLast(1) + rest.last().copy(isUsageComplete = isUsageComplete)
+    }
+
     /** Whether the sender relays for other daemons. */
     val isFromRelay: Boolean get() = relay == from
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.peer
 
 import io.jasmineford.core.time.MonotonicClock
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -72,6 +73,10 @@
         }
     }
 
+    /** [shortest] to twice as long in a large fleet, where many daemons would read each change at once; else zero. */
+    fun batchTime(shortest: Duration): Duration =
+        if (peers.size < RelaySelection.MAX_MESH_SIZE) Duration.ZERO else shortest * (1 + Random.nextDouble())
+
     /** Registered history daemons. */
     fun historyDaemons(): List<Peer> = peers.values.filter { !it.member.isEntry }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
@@ -42,8 +42,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Endpoints that send bytes without end until the connection is closed. Guards against a daemon that collects them until
- * its memory is full, and against calls that wait for the end until their deadline.
+ * Endpoints that send bytes without end until the connection is closed. Guards against a daemon that collects them
+ * until its memory is full, and against calls that wait for the end until their deadline.
  */
 class EndlessResponseTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -96,7 +96,7 @@
         assertEquals("502", outcomeOf("xxxx", RouteKind.UNSAFE))
     }
 
-    /** Status of a call whose endpoint sends [start] and then bytes without a line end until the connection is closed. */
+    /** Status of a call whose endpoint sends [start] and then bytes until the connection is closed. */
     private fun outcomeOf(start: String, kind: RouteKind): String {
         ServerSocket(0, CONNECTIONS, InetAddress.getLoopbackAddress()).use { server ->
             val closed = CompletableFuture<Unit>()
