--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
@@ -289,7 +289,7 @@
         private fun freeThreshold(admissionClass: AdmissionClass): Double {
             val elsewhere = demand.atPeers()
             val isBusy = demand.local + elsewhere > account.ratePerSecond * BUSY_RATE_FRACTION
-            val isLimited = admissionClass != AdmissionClass.UNDER_WAY && isBusy
+            val isLimited = admissionClass == AdmissionClass.NEW && isBusy
             val fraction = if (isLimited) BUSY_NEW_THRESHOLD else baseThreshold(admissionClass)
             val unreported = elsewhere * reportDelay().toDouble(DurationUnit.SECONDS)
             val lowest = capacity * UNDER_WAY_THRESHOLD + unreported.coerceAtMost(capacity * MAX_UNREPORTED)
@@ -333,8 +333,8 @@
          */
         const val BUSY_NEW_THRESHOLD = 0.75
 
-        /** Fraction kept for all other programs. */
-        const val EXCESSIVE_THRESHOLD = 0.6
+        /** Fraction kept for all other programs, not less than from new programs while the account is busy. */
+        const val EXCESSIVE_THRESHOLD = BUSY_NEW_THRESHOLD
 
         fun baseThreshold(admissionClass: AdmissionClass) = when (admissionClass) {
             AdmissionClass.UNDER_WAY -> UNDER_WAY_THRESHOLD
