--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/FleetExchangeTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/FleetExchangeTest.kt
@@ -18,8 +18,12 @@
 class FleetExchangeTest {
     @Test
     fun `heartbeats for each daemon do not grow from 30 to 300 daemons`() {
-        val (smallCount, smallBytes) = trafficForEach(30)
-        val (largeCount, largeBytes) = trafficForEach(300)
+        val traffic = listOf(10, 30, 100, 300).associateWith(::trafficForEach)
+        traffic.forEach { (size, each) ->
+            println("%d daemons: %.1f heartbeats/s and %.0f bytes/s a daemon".format(size, each.first, each.second))
+        }
+        val (smallCount, smallBytes) = traffic.getValue(30)
+        val (largeCount, largeBytes) = traffic.getValue(300)
         assertTrue(largeCount <= smallCount * 1.3, "datagrams a daemon and second: 30 $smallCount, 300 $largeCount")
         assertTrue(largeBytes <= smallBytes * 1.5, "bytes a daemon and second: 30 $smallBytes, 300 $largeBytes")
     }
