Log the rates that endpoints name, and the endpoint of streamed calls

Cause of the change: the logs could not tell whether daemons know the rate that an endpoint names, nor how many calls one endpoint gets. Each change of a named rate is a line now, with the calls in flight here and elsewhere; an unreadable rate is a line of its own; a gauge counts the endpoints that name one; call-streamed names its endpoint. Placement is unchanged.

Tests of the gateway and platform pass.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
@@ -16,6 +16,7 @@
  * @property expectedEndpoint id of the endpoint to which a request is addressed; another one rejects it.
  * @property notExecuted present on responses of endpoints that did not run the call.
  * @property signature present on every successful response of an endpoint.
+ * @property rateLimit calls per second that an endpoint takes from all daemons together, on its responses.
  * @property systemOnly headers that callers may not set; they are removed from their requests.
  */
 data class CallHeaderNames(
@@ -31,6 +32,7 @@
     val programDeadlineMillis: String,
     val tokenBudget: String,
     val previousTurn: String,
+    val rateLimit: String,
     val systemOnly: List<String>,
 )
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -64,11 +64,13 @@
  * Sends calls to endpoints over pooled connections.
  *
  * @param isUsable whether an endpoint may still get calls; checked again when its connection is open.
+ * @param onHead gets the headers of every response to a request, and the time at which the request was sent.
  */
 class EndpointSender(
     private val group: EventLoopGroup,
     private val clock: MonotonicClock,
     private val names: CallHeaderNames,
+    private val onHead: (EndpointState, HttpHeaders, sentAt: Duration) -> Unit = { _, _, _ -> },
     private val isUsable: (EndpointState) -> Boolean,
 ) {
     private val pools = HashMap<InetSocketAddress, ConnectionPool>()
@@ -149,6 +151,7 @@
         override fun onHead(head: HttpResponse) {
             val status = head.status().code()
             val isSuccess = status in SUCCESS
+            onHead(attempt.state, head.headers(), sentAt)
             when {
                 status == MISDIRECTED || head.headers().contains(names.notExecuted) -> refusedStatus = status
                 // Garbage from a faulty endpoint may look like a success; only real successes carry the signature.
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -98,8 +98,8 @@
     private fun giveUp(reason: String, retryAfter: Duration? = null) =
         if (runs == 0) response.refuse(UNAVAILABLE, reason, retryAfter) else response.fail(BAD_GATEWAY, reason)
 
-    private fun endStream() {
-        response.log("streamed", "events" to turn.events, "sends" to sends)
+    private fun endStream(endpoint: String) {
+        response.log("streamed", "endpoint" to endpoint, "events" to turn.events, "sends" to sends)
         when {
             !response.isStarted -> response.fail(BAD_GATEWAY, "stream without events")
             // The caller sees the end of a turn only once the turn is stored.
@@ -201,7 +201,7 @@
         private fun complete(head: ResponseHead) {
             if (response.isDone) return
             if (responseBuffer.isStream) {
-                endStream()
+                endStream(state.endpoint.id)
             } else {
                 response.log("answered", "endpoint" to state.endpoint.id, "status" to head.status, "sends" to sends)
                 response.sendComplete(head, responseBuffer.body())
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -4,6 +4,7 @@
 import io.jasmineford.gateway.call.CallServices
 import io.jasmineford.gateway.call.Dispatcher
 import io.jasmineford.gateway.call.EndpointSender
+import io.jasmineford.gateway.call.NamedRateReader
 import io.jasmineford.gateway.call.TurnCoordinator
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.endpoint.Endpoint
@@ -59,7 +60,13 @@
         ),
         clock = node.clock,
     )
-    private val sender = EndpointSender(node.group, node.clock, names, state.directory::isUsable)
+    private val sender = EndpointSender(
+        group = node.group,
+        clock = node.clock,
+        names = names,
+        onHead = NamedRateReader(names, node.log)::read,
+        isUsable = state.directory::isUsable,
+    )
     private val quorum = HistoryClients(node) { membership }.quorum
     private val services = CallServices(
         clock = node.clock,
@@ -100,6 +107,9 @@
         server.open(requireNotNull(node.settings.callerAddress) { "an entry daemon needs an address for callers" })
         membership.open()
         metrics.gauge("jasmineford_waiting_calls", "Calls that wait for an endpoint") { dispatcher.waiting.toDouble() }
+        metrics.gauge("jasmineford_limited_endpoints", "Endpoints that name the rate of calls that they take") {
+            state.directory.all.count { it.namedRate.perSecond != null }.toDouble()
+        }
         metrics.gauge("jasmineford_store_contact_age_seconds", "Age of the newest proof of store contact") {
             view.contact.age().toDouble(DurationUnit.SECONDS)
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -22,6 +22,9 @@
     var coldUntil: Duration = clock.now() + endpoint.coldForMillis.milliseconds
         internal set
 
+    /** Rate that the endpoint names in its responses. */
+    val namedRate = NamedRate(clock)
+
     /** End of the back-off after failures; until then other endpoints are preferred. See [recordFailure]. */
     var backoffUntil: Duration = Duration.ZERO
         private set
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
@@ -63,6 +63,7 @@
         programDeadlineMillis = "Program-Deadline",
         tokenBudget = "Budget",
         previousTurn = "Previous",
+        rateLimit = "Rate-Limit",
         systemOnly = emptyList(),
     )
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
@@ -41,6 +41,7 @@
         programDeadlineMillis = "Program-Deadline",
         tokenBudget = "Budget",
         previousTurn = "Previous",
+        rateLimit = "Rate-Limit",
         systemOnly = emptyList(),
     )
 
