Share the rate that an endpoint names among all daemons

What callers saw: nothing; endpoints in need got up to 2.7 times the tolerated calls. Cause: placement knew one rate at an endpoint, the configured cold rate, and no daemon read the rate that an endpoint names; a daemon that had not called the endpoint could not know it either. Class of fault: a limit that many daemons must keep together, but that each learns alone.

Change: cold rate and named rate are both rates that all daemons share, limited by one mechanism (SharedRateLimiter) in even parts whose roundings add up for any number of daemons; it replaces the limiter of the cold rate. Heartbeats carry what responses say of a rate as a versioned register: the latest observation holds at every daemon, a limit ends with the first signed response without one, told likewise.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/NamedRateReader.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/NamedRateReader.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.log.EventLog
+import io.jasmineford.gateway.log.endpointRate
 import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
 
@@ -18,24 +19,15 @@
                 "endpoint" to state.endpoint.id,
                 "value" to text.take(MAX_LOGGED_CHARS),
             )
-            state.namedRate.record(perSecond) -> logRate(state)
+            state.namedRate.record(perSecond) -> log.endpointRate(state, source = "response")
         }
     }
 
     /** Only signed responses end a limit: bytes from a faulty endpoint may look like a response without one. */
     private fun recordNone(state: EndpointState, sentAt: Duration) {
-        if (state.namedRate.recordNone(sentAt)) logRate(state)
+        if (state.namedRate.recordNone(sentAt)) log.endpointRate(state, source = "response")
     }
 
-    private fun logRate(state: EndpointState) = log.event(
-        "endpoint-rate",
-        "endpoint" to state.endpoint.id,
-        "service" to state.endpoint.service,
-        "per_second" to (state.namedRate.perSecond ?: "unlimited"),
-        "in_flight" to state.inFlight,
-        "in_flight_at_peers" to state.inFlightAtPeers,
-    )
-
     private companion object {
         const val MAX_LOGGED_CHARS = 40
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -12,6 +12,7 @@
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.endpoint.SendingDaemons
 import io.jasmineford.gateway.http.CallerServer
+import io.jasmineford.gateway.log.endpointRate
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
 import io.jasmineford.gateway.peer.EntryExchange
@@ -145,6 +146,7 @@
         if (!peer.member.isEntry) return
         val expectsReply = exchange.onHeartbeat(peer)
         state.applyHeartbeat(peer)
+        peer.heartbeat?.let(state::applyRates)?.forEach { node.log.endpointRate(it, source = peer.member.name) }
         if (expectsReply) membership.sendHeartbeat(peer)
         dispatcher.assignWaiting()
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -4,6 +4,7 @@
 import io.jasmineford.gateway.call.PoisonCallDetector
 import io.jasmineford.gateway.config.GatewayConfig
 import io.jasmineford.gateway.endpoint.EndpointDirectory
+import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.limit.AccountRateLimiter
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.limit.RateLimitTolerance
@@ -85,6 +86,7 @@
             crashes = poisonCalls.counts(),
             programs = activity.changesSince(told) { name -> isForwardedProgram(name, forwards) },
             isUsageComplete = isComplete,
+            rates = directory.recentRates(if (knowsRates(receiver)) RATE_REPEAT_TIME else Duration.INFINITE, MAX_RATES),
         )
         return exchange().addressed(own, receiver)
     }
@@ -112,6 +114,11 @@
         if (clock.now() - countedAt > COUNT_PERIOD) countInFlight()
     }
 
+    /** Applies the rates in [heartbeat] and returns the endpoints where the rate in force changed. */
+    fun applyRates(heartbeat: Heartbeat): List<EndpointState> = heartbeat.rates.mapNotNull { report ->
+        directory.find(report.endpoint)?.takeIf { it.namedRate.merge(report) }
+    }
+
     /** Sums the calls in flight that the live neighbours report for each endpoint. */
     fun countInFlight() {
         countedAt = clock.now()
@@ -151,6 +158,9 @@
         return total
     }
 
+    /** A daemon that is ready has read the registered endpoints and can apply what was told of them. */
+    private fun knowsRates(receiver: Peer) = receiver.heartbeat?.let { it.isReady && it.echo >= 0 } ?: false
+
     private fun hasJustStarted(peer: Peer): Boolean =
         peer.firstSeenAt > startedAt && clock.now() - peer.firstSeenAt < NEW_PEER_TIME
 
@@ -161,6 +171,12 @@
         /** Mean age of the other daemons' usage, through up to two relays. */
         val RELAYED_REPORT_DELAY = 200.milliseconds
 
+        /** Time for which an observed rate is repeated: some heartbeats, since single ones may be lost. */
+        val RATE_REPEAT_TIME = 700.milliseconds
+
+        /** Rates in one heartbeat, which then stays below the size of a datagram. */
+        const val MAX_RATES = 64
+
         /** Shortest time between two sums of the calls in flight; short relative to the period of heartbeats. */
         val COUNT_PERIOD = 20.milliseconds
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -34,7 +34,7 @@
  * refused.
  *
  * @param zone availability zone of this daemon.
- * @param daemons the daemons that share an endpoint's cold rate.
+ * @param daemons the daemons that share an endpoint's rates.
  */
 class EndpointChooser(
     private val directory: EndpointDirectory,
@@ -42,14 +42,14 @@
     private val clock: MonotonicClock,
     private val daemons: SendingDaemons,
 ) {
-    /** Returns the endpoint for [request] and counts the call against its cold rate; null when the call has to wait. */
+    /** Returns the endpoint for [request] and counts the call against its rates; null when the call has to wait. */
     fun choose(request: PlacementRequest): EndpointState? {
         val now = clock.now()
         val usable = directory.usable(request.service.name)
         val untried = usable.filter { it.endpoint.id !in request.tried }.ifEmpty { usable }
         val preferred = untried.filter { it.backoffUntil <= now }.ifEmpty { untried }
         val ranked = preferred.filter { hasFreeSlot(it) }.sortedBy { score(it, request) }
-        return ranked.firstOrNull { tryTakeColdSlot(it, request.service) }
+        return ranked.firstOrNull { tryTakeCall(it, request.service) }
     }
 
     private fun hasFreeSlot(state: EndpointState): Boolean = state.load < FULL_LOAD
@@ -67,18 +67,11 @@
         return ((hash xor (hash ushr HASH_SHIFT)) and HASH_MASK).toDouble() / HASH_MASK * AFFINITY_COST
     }
 
-    private fun tryTakeColdSlot(state: EndpointState, service: Service): Boolean {
-        val now = clock.now()
-        if (service.coldRate <= 0 || state.coldUntil <= now) return true
-        val limit = coldLimit((service.coldRate * COLD_RATE_FRACTION).toInt().coerceAtLeast(1), state.endpoint.id)
-        return state.coldRateLimiter.tryTake(now, limit)
-    }
-
-    /** Calls that this daemon may send to a cold endpoint per window, if all daemons together may send [total]. */
-    private fun coldLimit(total: Int, endpointId: String): Int {
-        val count = daemons.count().coerceAtLeast(1)
-        // With more daemons than calls, some daemons get one call each and the others none.
-        return if (count <= total) total / count else if (daemons.rankOf(endpointId) < total) 1 else 0
+    private fun tryTakeCall(state: EndpointState, service: Service): Boolean {
+        val id = state.endpoint.id
+        return state.rateLimiter.tryTake(state.rates(service)) {
+            RatePart(share = 1.0 / daemons.count().coerceAtLeast(1), rank = daemons.rankOf(id))
+        }
     }
 
     private companion object {
@@ -96,9 +89,6 @@
 
         /** Load difference that a call accepts to avoid an endpoint whose calls all fail. */
         const val FAILURE_COST = 1.5
-
-        /** Fraction of the cold rate that is used; the rest is a margin for uneven arrivals. */
-        const val COLD_RATE_FRACTION = 0.9
         const val HASH_FACTOR = -0x61c88647
         const val HASH_SHIFT = 15
         const val HASH_MASK = 0xffff
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.endpoint
 
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.gateway.config.Service
 import io.jasmineford.gateway.measure.DecayingAverage
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,7 +24,7 @@
         internal set
 
     /** Rate that the endpoint names in its responses. */
-    val namedRate = NamedRate(clock)
+    val namedRate = NamedRate(endpoint.id, clock)
 
     /** End of the back-off after failures; until then other endpoints are preferred. See [recordFailure]. */
     var backoffUntil: Duration = Duration.ZERO
@@ -38,13 +39,19 @@
     /** Smoothed fraction of calls that fail, 0 to 1. Endpoints that pass health checks may still fail many calls. */
     val failureRate: Double get() = decayingFailureRate.value
 
-    /** Limits the calls sent during warm-up. */
-    internal val coldRateLimiter = SlidingWindowLimiter()
+    /** Limits this daemon's calls to its part of [rates]. */
+    internal val rateLimiter = SharedRateLimiter(clock)
     private var failures = 0
 
     /** Calls in flight from all daemons, as a fraction of the slots. */
     val load: Double get() = (inFlight + inFlightAtPeers).toDouble() / endpoint.slots.coerceAtLeast(1)
 
+    /** Rates in force at the endpoint of [service]: the cold rate while it warms up, and the one that it names. */
+    fun rates(service: Service): List<EndpointRate> {
+        val cold = service.coldRate.takeIf { it > 0 && coldUntil > clock.now() }?.let { EndpointRate(it, COLD_WINDOW) }
+        return listOfNotNull(cold, namedRate.perSecond?.let { EndpointRate(it, NAMED_WINDOW) })
+    }
+
     /** Records a failed call: starts a back-off that doubles with each consecutive failure. */
     fun recordFailure() {
         failures = (failures + 1).coerceAtMost(MAX_FAILURES)
@@ -61,6 +68,12 @@
     }
 
     private companion object {
+        /** Time span in which the platform counts calls to an endpoint that warms up. */
+        val COLD_WINDOW = 1.seconds
+
+        /** Time span in which the platform counts calls to an endpoint that names a rate. */
+        val NAMED_WINDOW = 4.seconds
+
         /** Base of the exponential back-off; the first failure doubles it, to 0.1 s. */
         val BACKOFF_BASE = 50.milliseconds
 
@@ -82,24 +95,6 @@
     }
 }
 
-/** Sliding-window rate limiter for calls to an endpoint that is warming up. */
-internal class SlidingWindowLimiter {
-    private val sent = ArrayDeque<Duration>()
-
-    /** Counts a call at [now] and returns true, unless [limit] calls lie within the last [WINDOW]. */
-    fun tryTake(now: Duration, limit: Int): Boolean {
-        while (sent.isNotEmpty() && now - sent.first() >= WINDOW) sent.removeFirst()
-        val fits = sent.size < limit
-        if (fits) sent.addLast(now)
-        return fits
-    }
-
-    private companion object {
-        /** Longer than the one second in which the platform counts, as network delays vary. */
-        val WINDOW = 1.1.seconds
-    }
-}
-
 /** Registered endpoints by service, less those that are draining or in an evacuated availability zone. */
 class EndpointDirectory(private val clock: MonotonicClock) {
     private val states = HashMap<String, EndpointState>()
@@ -129,6 +124,16 @@
         }
     }
 
+    /** The endpoint with [id]; null when none is registered. */
+    fun find(id: String): EndpointState? = states[id]
+
+    /** The most recent observations of named rates that are younger than [age], at most [count] of them. */
+    fun recentRates(age: Duration, count: Int): List<RateReport> {
+        val since = clock.now() - age
+        return all.map { it.namedRate }.filter { it.updatedAt > since }
+            .sortedByDescending { it.updatedAt }.take(count).map { it.report() }
+    }
+
     /** Sets the availability zones whose endpoints get no new calls. */
     fun evacuate(zones: Set<String>) {
         evacuated = zones
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
@@ -1,20 +1,41 @@
 package io.jasmineford.gateway.endpoint
 
 import io.jasmineford.core.time.MonotonicClock
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
-/** Rate of calls that an endpoint takes from all daemons together, as its responses name it. */
-class NamedRate(private val clock: MonotonicClock) {
+/**
+ * What a daemon knows of the rate that an endpoint names, as told to the other daemons.
+ *
+ * @property perSecond calls per second; null when the endpoint names no rate any more.
+ * @property version grows with each observation that is told; the highest one is the latest.
+ */
+@Serializable
+data class RateReport(val endpoint: String, val perSecond: Double? = null, val version: Long)
+
+/**
+ * Rate of calls that an endpoint takes from all daemons together, as its responses name it to any of them.
+ *
+ * A daemon counts the version up when a response tells something new, and at times when responses confirm the rate. Of
+ * reports with the same version the lower rate holds; a wrong one is corrected by the next response.
+ */
+class NamedRate(private val endpoint: String, private val clock: MonotonicClock) {
     /** Calls per second; null while the endpoint names no rate. */
     var perSecond: Double? = null
         private set
+    private var version = 0L
     private var namedAt = -Duration.INFINITE
 
+    /** Time of the latest observation by any daemon that was new here; -[Duration.INFINITE] when there is none. */
+    var updatedAt: Duration = -Duration.INFINITE
+        private set
+
     /** Records that a response names [rate]; returns whether that is a change. */
     fun record(rate: Double): Boolean {
         namedAt = clock.now()
         val isChange = perSecond != rate
-        perSecond = rate
+        if (isChange || namedAt - updatedAt >= CONFIRMATION_PERIOD) advance(rate, version + 1)
         return isChange
     }
 
@@ -25,7 +46,30 @@
      */
     fun recordNone(sentAt: Duration): Boolean {
         val isChange = perSecond != null && sentAt > namedAt
-        if (isChange) perSecond = null
+        if (isChange) advance(null, version + 1)
         return isChange
     }
+
+    /** Applies what another daemon reports; returns whether that is a change. */
+    fun merge(report: RateReport): Boolean {
+        val rate = report.perSecond
+        val before = perSecond
+        val isLower = rate != null && (before == null || rate < before)
+        if (report.version > version || (report.version == version && isLower)) advance(rate, report.version)
+        return perSecond != before
+    }
+
+    /** Report for the other daemons. */
+    fun report() = RateReport(endpoint, perSecond, version)
+
+    private fun advance(rate: Double?, next: Long) {
+        perSecond = rate
+        version = next
+        updatedAt = clock.now()
+    }
+
+    private companion object {
+        /** Time after which a response that names the known rate is told to the other daemons again. */
+        val CONFIRMATION_PERIOD = 2.seconds
+    }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.peer
 
+import io.jasmineford.gateway.endpoint.RateReport
 import io.jasmineford.gateway.limit.AccountUsage
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
@@ -57,6 +58,7 @@
  * @property daemons number of daemons that may be admitting calls, told to daemons that are not relays.
  * @property silent number among [daemons] whose usage is not known, told to daemons that are not relays.
  * @property advertised short ids of the daemons that callers should use, told to daemons that are not relays.
+ * @property rates recent observations of the rates that endpoints name.
  */
 @Serializable
 data class Heartbeat(
@@ -80,13 +82,14 @@
     val daemons: Int = 0,
     val silent: Int = 0,
     val advertised: List<Int> = emptyList(),
+    val rates: List<RateReport> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
         val chunks = uses.chunked(MAX_USES)
         if (chunks.size <= 1) return listOf(this)
         val first = copy(uses = chunks.first(), isUsageComplete = false)
-        val rest = chunks.drop(1).map { first.copy(uses = it, programs = emptyMap()) }
+        val rest = chunks.drop(1).map { first.copy(uses = it, programs = emptyMap(), rates = emptyList()) }
         return listOf(first) + rest.dropLast(1) + rest.last().copy(isUsageComplete = isUsageComplete)
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
@@ -20,6 +20,7 @@
 class RelaySelection(private val self: Member, private val clock: MonotonicClock) {
     private var ranked: Map<String, List<Member>> = mapOf(self.zone to listOf(self))
     private val suspectedUntil = HashMap<String, Duration>()
+    private val ranks = HashMap<String, Int>()
 
     /** Whether every entry daemon is a relay. */
     var isMesh = true
@@ -32,11 +33,10 @@
     /** Number of entry daemons, this one included. */
     val entryCount: Int get() = ranked.values.sumOf { it.size }
 
-    /** Rank of this daemon, from 0, in an order of all entry daemons by [key]; the default relays come first. */
-    fun rankFor(key: String): Int {
-        val defaults = defaultRelays.map { it.name }.toSet()
-        val order = compareBy<String>({ it !in defaults }, { hash(key, it) }, { it })
-        return ranked.values.sumOf { zone -> zone.count { order.compare(it.name, self.name) < 0 } }
+    /** Rank of this daemon, from 0, in an order of all entry daemons by [key]. */
+    fun rankFor(key: String): Int = ranks.getOrPut(key) {
+        val order = compareBy<String>({ hash(key, it) }, { it })
+        ranked.values.sumOf { zone -> zone.count { order.compare(it.name, self.name) < 0 } }
     }
 
     private fun hash(key: String, name: String): Long =
@@ -55,6 +55,7 @@
     /** Replaces the registered entry daemons; this daemon is added when it is missing. */
     fun replaceEntries(entries: Collection<Member>) {
         val all = (entries.filter { it.name != self.name } + self)
+        ranks.clear()
         isMesh = all.size <= MAX_MESH_SIZE
         ranked = all.groupBy { it.zone }
             .mapValues { (_, list) -> list.sortedWith(BY_CAPACITY) }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway
 
 import io.jasmineford.core.time.VirtualClock
+import io.jasmineford.gateway.call.CallHeaderNames
 import io.jasmineford.gateway.config.ClientAccount
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.log.EventLog
@@ -32,6 +33,23 @@
     coldForMillis = coldForMillis,
 )
 
+internal val headerNames = CallHeaderNames(
+    attemptId = "Attempt",
+    deadlineMillis = "Deadline",
+    accountKey = "Key",
+    account = "Account",
+    expectedEndpoint = "Expected",
+    notExecuted = "Not-Executed",
+    signature = "Signature",
+    tokenUsage = "Tokens",
+    program = "Program",
+    programDeadlineMillis = "Program-Deadline",
+    tokenBudget = "Budget",
+    previousTurn = "Previous",
+    rateLimit = "Rate-Limit",
+    systemOnly = emptyList(),
+)
+
 /** Runs scheduled actions when the virtual clock reaches their time. */
 internal class VirtualScheduler(private val clock: VirtualClock) : Scheduler {
     private class Entry(val at: Duration, val order: Int, val action: () -> Unit)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
@@ -9,6 +9,7 @@
 import io.jasmineford.gateway.endpoint.EndpointDirectory
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.endpoint.SendingDaemons
+import io.jasmineford.gateway.headerNames
 import io.jasmineford.gateway.http.CallerExchange
 import io.jasmineford.gateway.http.CallerRequest
 import io.jasmineford.gateway.limit.AccountRateLimiter
@@ -50,22 +51,7 @@
     private val loop = group.next()
     private val clock = systemMonotonicClock()
     private val directory = EndpointDirectory(clock)
-    private val names = CallHeaderNames(
-        attemptId = "Attempt",
-        deadlineMillis = "Deadline",
-        accountKey = "Key",
-        account = "Account",
-        expectedEndpoint = "Expected",
-        notExecuted = "Not-Executed",
-        signature = "Signature",
-        tokenUsage = "Tokens",
-        program = "Program",
-        programDeadlineMillis = "Program-Deadline",
-        tokenBudget = "Budget",
-        previousTurn = "Previous",
-        rateLimit = "Rate-Limit",
-        systemOnly = emptyList(),
-    )
+    private val names = headerNames
 
     @AfterTest
     fun stop() {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
@@ -6,6 +6,7 @@
 import io.jasmineford.gateway.config.Service
 import io.jasmineford.gateway.endpoint
 import io.jasmineford.gateway.endpoint.EndpointState
+import io.jasmineford.gateway.headerNames
 import io.jasmineford.gateway.http.CallerRequest
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -28,22 +29,7 @@
 class EndpointSenderTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val clock = systemMonotonicClock()
-    private val names = CallHeaderNames(
-        attemptId = "Attempt",
-        deadlineMillis = "Deadline",
-        accountKey = "Key",
-        account = "Account",
-        expectedEndpoint = "Expected",
-        notExecuted = "Not-Executed",
-        signature = "Signature",
-        tokenUsage = "Tokens",
-        program = "Program",
-        programDeadlineMillis = "Program-Deadline",
-        tokenBudget = "Budget",
-        previousTurn = "Previous",
-        rateLimit = "Rate-Limit",
-        systemOnly = emptyList(),
-    )
+    private val names = headerNames
 
     @AfterTest
     fun stop() {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
@@ -125,6 +125,7 @@
             val peer = table.applyHeartbeat(heartbeat) ?: return
             val expectsReply = exchange.onHeartbeat(peer)
             state.applyHeartbeat(peer)
+            state.applyRates(heartbeat)
             if (expectsReply) send(peer)
         }
     }
