Divide endpoint rates by demand, with permits that expire

Cause: even parts waste what idle daemons do not use: with a tenth of 83 daemons busy an endpoint got a tenth of its rate. Sliding windows, tried first, summed up to 66 calls in 4 s with 300 daemons where 65 are tolerated, since each daemon used the best moment of its fluctuating share (EndpointRateTest, calls that move, step of 10 ms).

Change: daemons report the calls that arrive for services with limited endpoints; a daemon's share follows them, smoothed over several report times; daemons that are not heard keep an even share. Permits accrue at the share of the rate from an offset of the daemon's own and expire, so the sum keeps to the rate for any number of daemons.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -23,10 +23,15 @@
     val onRefused: (retryAfter: Duration) -> Unit,
 )
 
-/** Queues calls by service and assigns them to endpoints as these have free capacity. */
+/**
+ * Queues calls by service and assigns them to endpoints as these have free capacity.
+ *
+ * @param onArrival called with the name of the service of each call that is submitted.
+ */
 class Dispatcher(
     private val chooser: EndpointChooser,
     private val clock: MonotonicClock,
+    private val onArrival: (service: String) -> Unit = {},
 ) {
     private val queues = HashMap<String, WaitQueue<WaitingCall>>()
     private val completions = HashMap<String, CompletionStats>()
@@ -38,6 +43,7 @@
     /** Assigns [call] to an endpoint or queues it; refuses it when the expected wait exceeds the time it has left. */
     fun submit(call: WaitingCall) {
         val service = call.placement.service
+        onArrival(service.name)
         val queue = queues.getOrPut(service.name) { WaitQueue { it.scheduling } }
         val wait = expectedWait(service, queue.size)
         val available = call.scheduling.expiresAt - clock.now() - completionsOf(service).serviceTime
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -10,7 +10,6 @@
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
-import io.jasmineford.gateway.endpoint.SendingDaemons
 import io.jasmineford.gateway.http.CallerServer
 import io.jasmineford.gateway.log.endpointRate
 import io.jasmineford.gateway.metrics.CallMetrics
@@ -57,9 +56,10 @@
             directory = state.directory,
             zone = node.settings.zone,
             clock = node.clock,
-            daemons = SendingDaemons({ exchange.selection.entryCount }, { exchange.selection.rankFor(it) }),
+            partOf = state::ratePart,
         ),
         clock = node.clock,
+        onArrival = state.serviceDemand::recordCall,
     )
     private val sender = EndpointSender(
         group = node.group,
@@ -146,7 +146,8 @@
         if (!peer.member.isEntry) return
         val expectsReply = exchange.onHeartbeat(peer)
         state.applyHeartbeat(peer)
-        peer.heartbeat?.let(state::applyRates)?.forEach { node.log.endpointRate(it, source = peer.member.name) }
+        val changed = state.directory.applyRates(peer.heartbeat?.rates.orEmpty())
+        changed.forEach { node.log.endpointRate(it, source = peer.member.name) }
         if (expectsReply) membership.sendHeartbeat(peer)
         dispatcher.assignWaiting()
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -3,8 +3,11 @@
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.call.PoisonCallDetector
 import io.jasmineford.gateway.config.GatewayConfig
+import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointDirectory
-import io.jasmineford.gateway.endpoint.EndpointState
+import io.jasmineford.gateway.endpoint.RatePart
+import io.jasmineford.gateway.endpoint.SendingFleet
+import io.jasmineford.gateway.endpoint.ServiceDemand
 import io.jasmineford.gateway.limit.AccountRateLimiter
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.limit.RateLimitTolerance
@@ -50,6 +53,11 @@
     /** Endpoints with their calls in flight. */
     val directory = EndpointDirectory(clock)
 
+    /** Calls that arrive for each service. */
+    val serviceDemand = ServiceDemand(clock) { service ->
+        currentNeighbours.value.sumOf { it.heartbeat?.demand?.get(service) ?: 0.0 }
+    }
+
     /** Number of calls by program. */
     val activity = ProgramActivity(clock)
 
@@ -82,11 +90,15 @@
             contactAgeMillis = if (age.isFinite()) age.inWholeMilliseconds else -1,
             configVersion = config?.version ?: -1,
             inFlight = inFlightBehind(forwards),
+            demand = demandBehind(forwards),
             uses = rateLimiter.usage(isComplete) { source -> forwards(source.daemon, source.isRelay) },
             crashes = poisonCalls.counts(),
             programs = activity.changesSince(told) { name -> isForwardedProgram(name, forwards) },
             isUsageComplete = isComplete,
-            rates = directory.recentRates(if (knowsRates(receiver)) RATE_REPEAT_TIME else Duration.INFINITE, MAX_RATES),
+            rates = directory.recentRates(
+                age = if (receiver.mayKnowRates) RATE_REPEAT_TIME else Duration.INFINITE,
+                count = MAX_RATES,
+            ),
         )
         return exchange().addressed(own, receiver)
     }
@@ -114,9 +126,12 @@
         if (clock.now() - countedAt > COUNT_PERIOD) countInFlight()
     }
 
-    /** Applies the rates in [heartbeat] and returns the endpoints where the rate in force changed. */
-    fun applyRates(heartbeat: Heartbeat): List<EndpointState> = heartbeat.rates.mapNotNull { report ->
-        directory.find(report.endpoint)?.takeIf { it.namedRate.merge(report) }
+    /** Part of this daemon in the rates that all daemons share at [endpoint]. */
+    fun ratePart(endpoint: Endpoint): RatePart {
+        val selection = exchange().selection
+        val heard = 1 - exchange().silentCount().toDouble() / exchange().daemonCount().coerceAtLeast(1)
+        val fleet = SendingFleet(count = selection.entryCount, heardFraction = heard)
+        return RatePart(serviceDemand.share(endpoint.service, fleet), selection.rankFor(endpoint.id))
     }
 
     /** Sums the calls in flight that the live neighbours report for each endpoint. */
@@ -146,10 +161,22 @@
         return forwards(name, isRelay)
     }
 
-    private fun inFlightBehind(forwards: (String, Boolean) -> Boolean): Map<String, Int> {
-        val neighbours = currentNeighbours.value.filter {
-            forwards(it.member.name, exchange().roleOf(it) != PeerRole.LEAF)
+    private fun forwardedNeighbours(forwards: (String, Boolean) -> Boolean): List<Peer> =
+        currentNeighbours.value.filter { forwards(it.member.name, exchange().roleOf(it) != PeerRole.LEAF) }
+
+    private fun demandBehind(forwards: (String, Boolean) -> Boolean): Map<String, Double> {
+        val limited = directory.all.filter { it.mayBeLimited }.map { it.endpoint.service }.toSet()
+        serviceDemand.setReported(limited)
+        val total = HashMap<String, Double>()
+        limited.forEach { total[it] = serviceDemand.local(it) }
+        forwardedNeighbours(forwards).forEach { peer ->
+            peer.heartbeat?.demand?.forEach { (service, calls) -> total.merge(service, calls, Double::plus) }
         }
+        return total
+    }
+
+    private fun inFlightBehind(forwards: (String, Boolean) -> Boolean): Map<String, Int> {
+        val neighbours = forwardedNeighbours(forwards)
         val total = HashMap<String, Int>()
         directory.all.forEach { if (it.inFlight > 0) total[it.endpoint.id] = it.inFlight }
         neighbours.forEach { peer ->
@@ -158,9 +185,6 @@
         return total
     }
 
-    /** A daemon that is ready has read the registered endpoints and can apply what was told of them. */
-    private fun knowsRates(receiver: Peer) = receiver.heartbeat?.let { it.isReady && it.echo >= 0 } ?: false
-
     private fun hasJustStarted(peer: Peer): Boolean =
         peer.firstSeenAt > startedAt && clock.now() - peer.firstSeenAt < NEW_PEER_TIME
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -15,17 +15,6 @@
     val tried: Set<String> = emptySet(),
 )
 
-/**
- * This daemon among those that send calls.
- *
- * @property count number of daemons that send calls, this one included.
- * @property rankOf rank of this daemon, from 0, in an order of all daemons that depends on a key only.
- */
-class SendingDaemons(
-    val count: () -> Int,
-    val rankOf: (key: String) -> Int = { 0 },
-)
-
 /**
  * Load balancer: chooses an endpoint for a call, or none when all are at capacity.
  *
@@ -34,13 +23,13 @@
  * refused.
  *
  * @param zone availability zone of this daemon.
- * @param daemons the daemons that share an endpoint's rates.
+ * @param partOf the part of this daemon in the rates that all daemons share at an endpoint.
  */
 class EndpointChooser(
     private val directory: EndpointDirectory,
     private val zone: String,
     private val clock: MonotonicClock,
-    private val daemons: SendingDaemons,
+    private val partOf: (Endpoint) -> RatePart,
 ) {
     /** Returns the endpoint for [request] and counts the call against its rates; null when the call has to wait. */
     fun choose(request: PlacementRequest): EndpointState? {
@@ -67,12 +56,8 @@
         return ((hash xor (hash ushr HASH_SHIFT)) and HASH_MASK).toDouble() / HASH_MASK * AFFINITY_COST
     }
 
-    private fun tryTakeCall(state: EndpointState, service: Service): Boolean {
-        val id = state.endpoint.id
-        return state.rateLimiter.tryTake(state.rates(service)) {
-            RatePart(share = 1.0 / daemons.count().coerceAtLeast(1), rank = daemons.rankOf(id))
-        }
-    }
+    private fun tryTakeCall(state: EndpointState, service: Service): Boolean =
+        state.rateLimiter.tryTake(state.rates(service)) { partOf(state.endpoint) }
 
     private companion object {
         /** Load at which an endpoint gets no more calls, as all its slots are in use. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -46,10 +46,13 @@
     /** Calls in flight from all daemons, as a fraction of the slots. */
     val load: Double get() = (inFlight + inFlightAtPeers).toDouble() / endpoint.slots.coerceAtLeast(1)
 
+    /** Whether a rate may be in force at the endpoint. */
+    val mayBeLimited: Boolean get() = coldUntil > clock.now() || namedRate.perSecond != null
+
     /** Rates in force at the endpoint of [service]: the cold rate while it warms up, and the one that it names. */
     fun rates(service: Service): List<EndpointRate> {
-        val cold = service.coldRate.takeIf { it > 0 && coldUntil > clock.now() }?.let { EndpointRate(it, COLD_WINDOW) }
-        return listOfNotNull(cold, namedRate.perSecond?.let { EndpointRate(it, NAMED_WINDOW) })
+        val cold = service.coldRate.takeIf { it > 0 && coldUntil > clock.now() }?.let { EndpointRate(it, COLD_BURST) }
+        return listOfNotNull(cold, namedRate.perSecond?.let { EndpointRate(it, NAMED_BURST, namedRate.isStale) })
     }
 
     /** Records a failed call: starts a back-off that doubles with each consecutive failure. */
@@ -68,11 +71,11 @@
     }
 
     private companion object {
-        /** Time span in which the platform counts calls to an endpoint that warms up. */
-        val COLD_WINDOW = 1.seconds
+        /** The platform tolerates half a second's calls beyond the cold rate; the rest is for uneven delays. */
+        val COLD_BURST = 250.milliseconds
 
-        /** Time span in which the platform counts calls to an endpoint that names a rate. */
-        val NAMED_WINDOW = 4.seconds
+        /** The platform tolerates two seconds' calls beyond a named rate; the rest is for calls that move. */
+        val NAMED_BURST = 1.seconds
 
         /** Base of the exponential back-off; the first failure doubles it, to 0.1 s. */
         val BACKOFF_BASE = 50.milliseconds
@@ -124,8 +127,10 @@
         }
     }
 
-    /** The endpoint with [id]; null when none is registered. */
-    fun find(id: String): EndpointState? = states[id]
+    /** Applies [reports] of other daemons and returns the endpoints at which another rate is in force now. */
+    fun applyRates(reports: List<RateReport>): List<EndpointState> = reports.mapNotNull { report ->
+        states[report.endpoint]?.takeIf { it.namedRate.merge(report) }
+    }
 
     /** The most recent observations of named rates that are younger than [age], at most [count] of them. */
     fun recentRates(age: Duration, count: Int): List<RateReport> {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.endpoint
 
 import io.jasmineford.core.time.MonotonicClock
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -12,7 +13,11 @@
  * @property version grows with each observation that is told; the highest one is the latest.
  */
 @Serializable
-data class RateReport(val endpoint: String, val perSecond: Double? = null, val version: Long)
+data class RateReport(
+    @SerialName("e") val endpoint: String,
+    @SerialName("r") val perSecond: Double? = null,
+    @SerialName("v") val version: Long,
+)
 
 /**
  * Rate of calls that an endpoint takes from all daemons together, as its responses name it to any of them.
@@ -31,6 +36,9 @@
     var updatedAt: Duration = -Duration.INFINITE
         private set
 
+    /** Whether no daemon has confirmed the rate for so long that its end may have been missed here. */
+    val isStale: Boolean get() = clock.now() - updatedAt > STALE_AFTER
+
     /** Records that a response names [rate]; returns whether that is a change. */
     fun record(rate: Double): Boolean {
         namedAt = clock.now()
@@ -70,6 +78,9 @@
 
     private companion object {
         /** Time after which a response that names the known rate is told to the other daemons again. */
-        val CONFIRMATION_PERIOD = 2.seconds
+        val CONFIRMATION_PERIOD = 10.seconds
+
+        /** Several confirmations are missing. */
+        val STALE_AFTER = 30.seconds
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
@@ -52,6 +52,9 @@
             heartbeat?.isReady == true && heartbeat?.isLeaving == false
         }
 
+    /** Whether the peer may have applied what it was told of endpoints: only then has it read their registrations. */
+    val mayKnowRates: Boolean get() = heartbeat?.let { it.isReady && it.echo >= 0 } ?: false
+
     /** Time at which the message was sent that the latest heartbeat echoes; null when it echoes none. */
     val echoedSentAt: Duration? get() = heartbeat?.let { sentAt[it.echo] }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -58,6 +58,7 @@
  * @property daemons number of daemons that may be admitting calls, told to daemons that are not relays.
  * @property silent number among [daemons] whose usage is not known, told to daemons that are not relays.
  * @property advertised short ids of the daemons that callers should use, told to daemons that are not relays.
+ * @property demand calls per second that arrive for each service with endpoints whose calls are limited.
  * @property rates recent observations of the rates that endpoints name.
  */
 @Serializable
@@ -82,6 +83,7 @@
     val daemons: Int = 0,
     val silent: Int = 0,
     val advertised: List<Int> = emptyList(),
+    val demand: Map<String, Double> = emptyMap(),
     val rates: List<RateReport> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
