Log the software version of streams' endpoints, and streams that callers take up again

Cause of the change: the logs could not tell at which version a stream began, whether it went on within one response, nor which call continued which. call-streamed and call-broken name the version of the endpoint, call-resumes names the call that began the stream. Placement is unchanged.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
@@ -16,6 +16,7 @@
  * @property expectedEndpoint id of the endpoint to which a request is addressed; another one rejects it.
  * @property notExecuted present on responses of endpoints that did not run the call.
  * @property signature present on every successful response of an endpoint.
+ * @property resumedAttempt id of the attempt that brought the first event of a stream that the caller takes up again.
  * @property rateLimit calls per second that an endpoint takes from all daemons together, on its responses.
  * @property systemOnly headers that callers may not set; they are removed from their requests.
  */
@@ -32,6 +33,7 @@
     val programDeadlineMillis: String,
     val tokenBudget: String,
     val previousTurn: String,
+    val resumedAttempt: String,
     val rateLimit: String,
     val systemOnly: List<String>,
 )
@@ -50,6 +52,7 @@
  * @property programDeadline time left for the whole program, from the arrival of the call.
  * @property tokenBudget tokens that all turns of the program together may produce; null for no limit.
  * @property previousTurn id of the turn that this one continues.
+ * @property resumedAttempt id of the attempt that began the stream which this one takes up again; null for a new one.
  */
 data class CallAttributes(
     val attemptId: String,
@@ -60,6 +63,7 @@
     val programDeadline: Duration?,
     val tokenBudget: Long?,
     val previousTurn: String?,
+    val resumedAttempt: String? = null,
 )
 
 /** Reads the attributes of [request]; null when the attempt id is missing or a number is malformed. */
@@ -78,6 +82,7 @@
         programDeadline = headers[programDeadlineMillis]?.trim()?.toLong()?.milliseconds,
         tokenBudget = headers[tokenBudget]?.trim()?.toLong(),
         previousTurn = headers[previousTurn]?.takeIf { it.isNotBlank() },
+        resumedAttempt = headers[resumedAttempt]?.takeIf { it.isNotBlank() },
     )
 }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.call
 
 import io.jasmineford.gateway.config.RouteKind
+import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
 import io.jasmineford.gateway.http.CallerExchange
@@ -38,6 +39,7 @@
             response.endWithoutCaller()
         }
         services.scheduler.after(call.expiresAt - clock.now(), ::expire)
+        call.attributes.resumedAttempt?.let { response.log("resumes", "began_as" to it) }
         if (turn.needsBegin) turn.begin(::turnBegun) else submit()
     }
 
@@ -98,8 +100,14 @@
     private fun giveUp(reason: String, retryAfter: Duration? = null) =
         if (runs == 0) response.refuse(UNAVAILABLE, reason, retryAfter) else response.fail(BAD_GATEWAY, reason)
 
-    private fun endStream(endpoint: String) {
-        response.log("streamed", "endpoint" to endpoint, "events" to turn.events, "sends" to sends)
+    private fun endStream(endpoint: Endpoint) {
+        response.log(
+            "streamed",
+            "endpoint" to endpoint.id,
+            "version" to endpoint.version,
+            "events" to turn.events,
+            "sends" to sends,
+        )
         when {
             !response.isStarted -> response.fail(BAD_GATEWAY, "stream without events")
             // The caller sees the end of a turn only once the turn is stored.
@@ -193,7 +201,13 @@
         override fun broken(reason: String) {
             state.recordFailure()
             if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint)
-            response.log("broken", "endpoint" to state.endpoint.id, "reason" to reason, "events" to turn.events)
+            response.log(
+                "broken",
+                "endpoint" to state.endpoint.id,
+                "version" to state.endpoint.version,
+                "reason" to reason,
+                "events" to turn.events,
+            )
             attemptEnded(wasRun = true)
             retryOrGiveUp(reason)
         }
@@ -201,7 +215,7 @@
         private fun complete(head: ResponseHead) {
             if (response.isDone) return
             if (responseBuffer.isStream) {
-                endStream(state.endpoint.id)
+                endStream(state.endpoint)
             } else {
                 response.log("answered", "endpoint" to state.endpoint.id, "status" to head.status, "sends" to sends)
                 response.sendComplete(head, responseBuffer.body())
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/Endpoint.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/Endpoint.kt
@@ -10,6 +10,8 @@
  * @property isDraining whether it takes no new calls because it is shutting down.
  * @property coldForMillis remaining warm-up time when this was reported; until then its calls are limited to
  * the cold rate of its service.
+ * @property version version of its software, empty when it reports none; a stream may go on only at the version that
+ * began it.
  * @property startedAtMillis Unix milliseconds of its start, 0 when it reports none.
  */
 data class Endpoint(
@@ -21,4 +23,5 @@
     val isDraining: Boolean,
     val coldForMillis: Long,
     val startedAtMillis: Long = 0,
+    val version: String = "",
 )
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
@@ -46,6 +46,7 @@
     programDeadlineMillis = "Program-Deadline",
     tokenBudget = "Budget",
     previousTurn = "Previous",
+    resumedAttempt = "Resumes",
     rateLimit = "Rate-Limit",
     systemOnly = emptyList(),
 )
