Add the failing tests of streams that hold events from two software versions

What callers saw: a stream that broke off went on with events of an endpoint of another version, within one response or after the caller took it up elsewhere.

--- /dev/null
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
@@ -0,0 +1,80 @@
+package io.jasmineford.gateway.call
+
+import io.jasmineford.core.time.systemMonotonicClock
+import io.jasmineford.gateway.endpoint.EndpointChooser
+import io.jasmineford.gateway.endpoint.EndpointDirectory
+import io.jasmineford.gateway.endpoint.RatePart
+import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
+import io.jasmineford.gateway.headerNames
+import io.jasmineford.gateway.http.CallerExchange
+import io.jasmineford.gateway.limit.AccountRateLimiter
+import io.jasmineford.gateway.limit.ProgramActivity
+import io.jasmineford.gateway.limit.RateLimitTolerance
+import io.jasmineford.gateway.metrics.CallMetrics
+import io.jasmineford.gateway.noOpLog
+import io.jasmineford.gateway.store.Scheduler
+import io.jasmineford.gateway.turn.HistoryQuorum
+import io.jasmineford.gateway.turn.TokenReserver
+import io.netty.buffer.ByteBuf
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpHeaders
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+
+/** Services of a daemon that runs on [loop] and sends calls to the endpoints of [directory]. */
+internal fun callServices(
+    group: EventLoopGroup,
+    loop: EventLoop,
+    directory: EndpointDirectory,
+    quorum: HistoryQuorum = HistoryQuorum({ null }, { _, _, _, onReply -> onReply(null) }, { 0 }),
+    zone: String = "a",
+): CallServices {
+    val clock = systemMonotonicClock()
+    val scheduler = Scheduler { delay, action ->
+        loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+    val chooser = EndpointChooser(directory, zone, clock) { RatePart(share = 1.0, rank = 0) }
+    return CallServices(
+        clock = clock,
+        wallMillis = { 0 },
+        scheduler = scheduler,
+        names = headerNames,
+        dispatcher = Dispatcher(chooser, clock),
+        turns = TurnCoordinator(quorum, TokenReserver(quorum, scheduler, noOpLog)),
+        poisonCalls = PoisonCallDetector(clock),
+        sender = EndpointSender(group, clock, headerNames) { true },
+        log = noOpLog,
+        activity = ProgramActivity(clock),
+        rateLimiter = AccountRateLimiter(clock, RateLimitTolerance(1.seconds, 0.1, 1.0), { 0 }, { 1 }),
+        metrics = CallMetrics(),
+        latencyBaseline = RouteLatencyBaseline(),
+    )
+}
+
+/** Caller that records the parts of a stream and how the call ended. */
+internal class RecordingExchange : CallerExchange {
+    val parts = LinkedBlockingQueue<String>()
+    val outcomes = LinkedBlockingQueue<String>()
+    override val isOpen = true
+    override var onDisconnect: () -> Unit = {}
+
+    override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
+        outcomes.add("$status")
+    }
+
+    override fun startAnswer(status: Int, headers: HttpHeaders) = Unit
+
+    override fun sendPart(data: ByteBuf) {
+        parts.add(data.toString(Charsets.UTF_8))
+    }
+
+    override fun endAnswer() {
+        outcomes.add("end")
+    }
+
+    override fun abort() {
+        outcomes.add("cut off")
+    }
+}
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
@@ -92,7 +92,7 @@
             val caller = RecordingExchange()
             loop.execute {
                 directory.replace(listOf(endpoint("e1").copy(address = address)))
-                ProxyCall(call(kind), caller, services()).start()
+                ProxyCall(call(kind), caller, callServices(group, loop, directory)).start()
             }
             val outcome = checkNotNull(caller.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS)) { "the call did not end" }
             closed.get(WAIT_SECONDS, TimeUnit.SECONDS)
@@ -118,29 +118,6 @@
         }
     }
 
-    private fun services(): CallServices {
-        val quorum = HistoryQuorum({ null }, { _, _, _, onReply -> onReply(null) }, { 0 })
-        val scheduler = Scheduler { delay, action ->
-            loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-        }
-        val chooser = EndpointChooser(directory, "a", clock) { RatePart(share = 1.0, rank = 0) }
-        return CallServices(
-            clock = clock,
-            wallMillis = { 0 },
-            scheduler = scheduler,
-            names = names,
-            dispatcher = Dispatcher(chooser, clock),
-            turns = TurnCoordinator(quorum, TokenReserver(quorum, scheduler, noOpLog)),
-            poisonCalls = PoisonCallDetector(clock),
-            sender = EndpointSender(group, clock, names) { true },
-            log = noOpLog,
-            activity = ProgramActivity(clock),
-            rateLimiter = AccountRateLimiter(clock, RateLimitTolerance(1.seconds, 0.1, 1.0), { 0 }, { 1 }),
-            metrics = CallMetrics(),
-            latencyBaseline = RouteLatencyBaseline(),
-        )
-    }
-
     private fun call(kind: RouteKind): AdmittedCall {
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders().add("Attempt", "a1")
         val request = CallerRequest(HttpMethod.GET, "/p/", headers, Unpooled.EMPTY_BUFFER)
@@ -149,28 +126,6 @@
         return AdmittedCall(request, attributes, route, null, Service("models"), "f", clock.now(), 0)
     }
 
-    private class RecordingExchange : CallerExchange {
-        val outcomes = LinkedBlockingQueue<String>()
-        override val isOpen = true
-        override var onDisconnect: () -> Unit = {}
-
-        override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
-            outcomes.add("$status")
-        }
-
-        override fun startAnswer(status: Int, headers: HttpHeaders) = Unit
-
-        override fun sendPart(data: ByteBuf) = Unit
-
-        override fun endAnswer() {
-            outcomes.add("end")
-        }
-
-        override fun abort() {
-            outcomes.add("cut off")
-        }
-    }
-
     private companion object {
         /** Longer than the test waits, so a call that ends by its deadline fails the test. */
         val CALL_TIMEOUT: Duration = 60.seconds
--- /dev/null
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
@@ -0,0 +1,193 @@
+package io.jasmineford.gateway.call
+
+import io.jasmineford.core.time.systemMonotonicClock
+import io.jasmineford.gateway.config.Route
+import io.jasmineford.gateway.config.RouteKind
+import io.jasmineford.gateway.config.Service
+import io.jasmineford.gateway.endpoint
+import io.jasmineford.gateway.endpoint.EndpointDirectory
+import io.jasmineford.gateway.headerNames
+import io.jasmineford.gateway.http.CallerRequest
+import io.jasmineford.gateway.peer.Member
+import io.jasmineford.gateway.turn.GroupView
+import io.jasmineford.gateway.turn.HistoryChannel
+import io.jasmineford.gateway.turn.HistoryQuorum
+import io.jasmineford.gateway.turn.HistoryReply
+import io.jasmineford.gateway.turn.HistoryRequest
+import io.jasmineford.gateway.turn.TokenEntry
+import io.netty.buffer.Unpooled
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpMethod
+import java.io.IOException
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/** Streams beside endpoints of two software versions. Guards against a stream that holds events of both. */
+class StreamVersionTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val history = FakeHistory()
+    private val servers = ArrayList<ServerSocket>()
+
+    @AfterTest
+    fun stop() {
+        servers.forEach { it.close() }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    @Test
+    fun `a stream that breaks off goes on at its version only`() {
+        val daemon = Daemon(
+            server("old", "v1", EVENT_1, isWhole = false),
+            server("new", "v2", EVENT_1 + EVENT_2),
+            server("old-2", "v1", EVENT_2, isOnlyForResumed = true),
+        )
+        repeat(CALLS) { index ->
+            val caller = daemon.call("a$index")
+            caller.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS)
+            assertTrue(caller.versions().size <= 1, "call $index got events of ${caller.versions()}")
+        }
+    }
+
+    @Test
+    fun `a stream whose version has no endpoint left is cut off at once`() {
+        val daemon = Daemon(server("old", "v1", EVENT_1, isWhole = false))
+        val caller = daemon.call("a1", onFirstEvent = { daemon.replace(server("new", "v2", EVENT_1 + EVENT_2)) })
+        assertEquals("cut off", caller.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        assertEquals(setOf("v1"), caller.versions())
+    }
+
+    @Test
+    fun `a stream that a caller takes up at another daemon goes on at the version that began it`() {
+        repeat(CALLS) { index ->
+            val endpoints = arrayOf(server("old", "v1", EVENT_1 + EVENT_2), server("new", "v2", EVENT_1 + EVENT_2))
+            val first = Daemon(*endpoints).call("a$index")
+            assertEquals("end", first.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+            val second = Daemon(*endpoints, zone = "b").call("b$index", resumes = "a$index")
+            assertEquals("end", second.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+            assertEquals(first.versions(), second.versions(), "call $index")
+        }
+    }
+
+    @Test
+    fun `a stream of an unknown version is refused while two versions serve`() {
+        val daemon = Daemon(server("old", "v1", EVENT_2), server("new", "v2", EVENT_2))
+        assertEquals("503", daemon.call("b1", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+    }
+
+    @Test
+    fun `a stream goes on without a record while one version serves`() {
+        val daemon = Daemon(server("old", "v1", EVENT_2))
+        assertEquals("end", daemon.call("b1", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+    }
+
+    private fun RecordingExchange.versions() = parts.map { it.substringAfter("data: ").substringBefore('/') }.toSet()
+
+    private class Server(val name: String, val version: String, val port: Int)
+
+    /** Endpoint that sends [events], each with its version, and ends the response, or breaks it off. */
+    private fun server(
+        name: String,
+        version: String,
+        events: String,
+        isWhole: Boolean = true,
+        isOnlyForResumed: Boolean = false,
+    ): Server {
+        val socket = ServerSocket(0, CONNECTIONS, InetAddress.getLoopbackAddress()).also(servers::add)
+        thread(isDaemon = true) { serve(socket, events.replace("VERSION", version), isWhole, isOnlyForResumed) }
+        return Server(name, version, socket.localPort)
+    }
+
+    private fun serve(socket: ServerSocket, events: String, isWhole: Boolean, isOnlyForResumed: Boolean) {
+        while (!socket.isClosed) {
+            try {
+                socket.accept().use { connection ->
+                    val reader = connection.getInputStream().bufferedReader()
+                    val head = generateSequence { reader.readLine() }.takeWhile { it.isNotEmpty() }.toList()
+                    val isResumed = head.any { it.startsWith("Last-Event-Id", ignoreCase = true) }
+                    val length = events.length + if (isWhole) 0 else 1
+                    val refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                    val ok = "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\nContent-Length: $length\r\n\r\n"
+                    val answer = if (isOnlyForResumed && !isResumed) refusal else ok + events
+                    connection.getOutputStream().write(answer.toByteArray())
+                }
+            } catch (_: IOException) {
+                // The daemon has closed the connection, or the test has ended.
+            }
+        }
+    }
+
+    /** A daemon with its own view of the endpoints; all daemons share the history. */
+    private inner class Daemon(vararg servers: Server, zone: String = "a") {
+        private val clock = systemMonotonicClock()
+        private val directory = EndpointDirectory(clock)
+        private val services = callServices(group, loop, directory, history.quorum, zone)
+
+        init {
+            replace(*servers)
+        }
+
+        fun replace(vararg servers: Server) {
+            val endpoints = servers.map {
+                val address = InetSocketAddress(InetAddress.getLoopbackAddress(), it.port)
+                endpoint(it.name, zone = if (it.version == "v1") "a" else "b").copy(address = address, version = it.version)
+            }
+            loop.submit { directory.replace(endpoints) }.get()
+        }
+
+        fun call(id: String, resumes: String? = null, onFirstEvent: () -> Unit = {}): RecordingExchange {
+            val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+                .add("Attempt", id).add("Program", resumes ?: id).add("Budget", "1000").add("Tokens", "1,1")
+            resumes?.let { headers.add("Resumes", it).add("Last-Event-Id", "1") }
+            val request = CallerRequest(HttpMethod.POST, "/p/", headers, Unpooled.EMPTY_BUFFER)
+            val route = Route(
+                "r", "h", "/p/", RouteKind.STREAM, CALL_TIMEOUT, 1.seconds, 0, emptyList(), 3, isResumable = true,
+            )
+            val attributes = checkNotNull(headerNames.read(request))
+            val call = AdmittedCall(request, attributes, route, null, Service("models"), id, clock.now(), 0)
+            val caller = RecordingExchange()
+            loop.execute { ProxyCall(call, caller, services).start() }
+            if (resumes == null) caller.parts.poll(WAIT_SECONDS, TimeUnit.SECONDS)?.let(caller.parts::add)
+            onFirstEvent()
+            return caller
+        }
+    }
+
+    /** Three history daemons that hold the same entries. */
+    private class FakeHistory {
+        private val entries = LinkedHashMap<String, TokenEntry>()
+        private val members = List(3) { Member("s$it", 1, "a", "r", isEntry = false, ip = "", peerPort = 1) }
+        private val channel = HistoryChannel { _, _, request, onReply -> onReply(reply(request)) }
+        val quorum = HistoryQuorum({ GroupView(1, majority = 2, members) }, channel) { 0 }
+
+        private fun reply(request: HistoryRequest): HistoryReply = when (request) {
+            is HistoryRequest.Reserve -> HistoryReply.Reserved(0, 0).also { put(request.entry) }
+            is HistoryRequest.Tokens -> HistoryReply.Tokens(entries.values.filter { it.program == request.program })
+            is HistoryRequest.Finish -> HistoryReply.Finished.also { request.tokens?.let(::put) }
+            else -> HistoryReply.Incomplete
+        }
+
+        private fun put(entry: TokenEntry) {
+            entries[entry.attempt] = entry
+        }
+    }
+
+    private companion object {
+        const val EVENT_1 = "id: 1\ndata: VERSION/1\n\n"
+        const val EVENT_2 = "id: 2\ndata: VERSION/2\n\n"
+        const val CALLS = 20
+        const val CONNECTIONS = 8
+        const val WAIT_SECONDS = 20L
+        val CALL_TIMEOUT = 60.seconds
+    }
+}
