Go on with a broken stream at endpoints of its software version only

What callers saw: a response that held events of two software versions, after its endpoint broke off. Cause: a call that is sent again after its first event went to any endpoint of the service. Change: the version of the first event's endpoint is part of the placement request; when no endpoint of it is registered the stream is cut off at once, and a call that waits for a version does not hold back those behind it.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -46,6 +46,10 @@
         onArrival(service.name)
         val queue = queues.getOrPut(service.name) { WaitQueue { it.scheduling } }
         val wait = expectedWait(service, queue.size)
+        if (!chooser.isServable(call.placement)) {
+            call.onRefused(Duration.ZERO)
+            return
+        }
         val available = call.scheduling.expiresAt - clock.now() - completionsOf(service).serviceTime
         if (queue.size > 0 && wait > available) {
             call.onRefused(wait.coerceAtMost(MAX_RETRY_AFTER))
@@ -77,10 +81,20 @@
         val now = clock.now()
         queue.removeExpired(now, MIN_SERVICE_TIME).forEach { it.onRefused(Duration.ZERO) }
         for (call in queue.inOrder(now)) {
-            val state = chooser.choose(call.placement) ?: break
-            queue.remove(call)
-            state.inFlight++
-            call.onPlaced(state)
+            val state = chooser.choose(call.placement)
+            when {
+                state != null -> {
+                    queue.remove(call)
+                    state.inFlight++
+                    call.onPlaced(state)
+                }
+                !chooser.isServable(call.placement) -> {
+                    queue.remove(call)
+                    call.onRefused(Duration.ZERO)
+                }
+                // Calls behind one that has to go to a certain version may have other endpoints.
+                call.placement.version == null -> break
+            }
         }
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -25,6 +25,7 @@
     private val turn = TurnSession(call, services.turns)
     private val response = CallResponse(call, exchange, services, ::finished)
     private val tried = HashSet<String>()
+    private var streamVersion: String? = null
     private var sends = 0
     private var runs = 0
     private var waiting: WaitingCall? = null
@@ -64,7 +65,7 @@
         val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
             scheduling = call.scheduling,
-            placement = PlacementRequest(call.service, affinity, tried),
+            placement = PlacementRequest(call.service, affinity, tried, streamVersion),
             onPlaced = ::send,
             onRefused = { retryAfter ->
                 waiting = null
@@ -149,6 +150,7 @@
     private inner class AttemptOutcome(private val state: EndpointState) : AttemptHandler {
         private val responseBuffer = ResponseBuffer(route.kind == RouteKind.STREAM) { head, event ->
             if (!response.isDone) {
+                streamVersion = state.endpoint.version
                 turn.recordEvent(event)
                 response.sendEvent(head, event)
             }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -7,12 +7,15 @@
  * Properties of a call that determine its endpoint.
  *
  * @property affinity key shared by calls that benefit from the same endpoint, such as its prompt cache; null for none.
+ * @property version the only software version at which the call may run, as it goes on with a stream of that version;
+ * null for any.
  * @property tried ids of the endpoints to which the call was sent before.
  */
 data class PlacementRequest(
     val service: Service,
     val affinity: String?,
     val tried: Set<String> = emptySet(),
+    val version: String? = null,
 )
 
 /**
@@ -34,13 +37,21 @@
     /** Returns the endpoint for [request] and counts the call against its rates; null when the call has to wait. */
     fun choose(request: PlacementRequest): EndpointState? {
         val now = clock.now()
-        val usable = directory.usable(request.service.name)
+        val usable = usableFor(request)
         val untried = usable.filter { it.endpoint.id !in request.tried }.ifEmpty { usable }
         val preferred = untried.filter { it.backoffUntil <= now }.ifEmpty { untried }
         val ranked = preferred.filter { hasFreeSlot(it) }.sortedBy { score(it, request) }
         return ranked.firstOrNull { tryTakeCall(it, request.service) }
     }
 
+    /** Whether any endpoint could run the call, at capacity or not. */
+    fun isServable(request: PlacementRequest): Boolean = request.version == null || usableFor(request).isNotEmpty()
+
+    private fun usableFor(request: PlacementRequest): List<EndpointState> {
+        val usable = directory.usable(request.service.name)
+        return if (request.version == null) usable else usable.filter { it.endpoint.version == request.version }
+    }
+
     private fun hasFreeSlot(state: EndpointState): Boolean = state.load < FULL_LOAD
 
     private fun score(state: EndpointState, request: PlacementRequest): Double {
