Go on with streams that callers take up again at the version that began them

What callers saw: a stream taken up again at another daemon went on with events of another software version. Cause: only the daemon that began a stream knew its version. Class of fault: state that decides about correctness and lives in one process only.

Change: while endpoints of a service have several versions, or had a short time ago, the version is recorded at a majority of the history daemons before the first event is sent, as an entry among the program's token entries; a daemon that is asked to go on with a stream reads it there. A stream of unknown version is refused while several versions serve. With one version nothing is recorded or read; there are no store calls and no heartbeat traffic.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
@@ -23,4 +23,5 @@
     val rateLimiter: AccountRateLimiter,
     val metrics: CallMetrics,
     val latencyBaseline: RouteLatencyBaseline,
+    val streamVersions: StreamVersions,
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -23,7 +23,12 @@
     private val route = call.route
     private val clock = services.clock
     private val turn = TurnSession(call, services.turns)
-    private val response = CallResponse(call, exchange, services, ::finished)
+    private val response = CallResponse(call, exchange, services) {
+        waiting?.let { services.dispatcher.cancel(it) }
+        waiting = null
+        turn.settle()
+        if (body !== call.request.body) body.release()
+    }
     private val tried = HashSet<String>()
     private var streamVersion: String? = null
     private var sends = 0
@@ -40,8 +45,20 @@
             response.endWithoutCaller()
         }
         services.scheduler.after(call.expiresAt - clock.now(), ::expire)
-        call.attributes.resumedAttempt?.let { response.log("resumes", "began_as" to it) }
-        if (turn.needsBegin) turn.begin(::turnBegun) else submit()
+        services.streamVersions.find(call, ::begin)
+    }
+
+    private fun begin(continuation: StreamContinuation) {
+        val resumed = call.attributes.resumedAttempt
+        if (resumed != null) response.log("resumes", "began_as" to resumed, "continuation" to continuation)
+        streamVersion = (continuation as? StreamContinuation.At)?.version
+        when {
+            response.isDone -> Unit
+            continuation is StreamContinuation.Nowhere ->
+                response.refuse(UNAVAILABLE, "stream-version-unknown", UNKNOWN_RETRY_AFTER)
+            turn.needsBegin -> turn.begin(::turnBegun)
+            else -> submit()
+        }
     }
 
     private fun turnBegun(start: TurnStart) {
@@ -81,7 +98,11 @@
         if (sends == 0) services.metrics.placed(route.kind, clock.now() - call.arrivedAt)
         sends++
         tried.add(state.endpoint.id)
-        val next = EndpointAttempt(state, AttemptOutcome(state))
+        val outcome = AttemptOutcome(state)
+        val next = when (streamVersion) {
+            null -> services.streamVersions.attempt(call, state, outcome) { attempt === it }
+            else -> EndpointAttempt(state, outcome)
+        }
         attempt = next
         val headers = call.headersFor(services.names, state, call.callerDeadline - clock.now(), turn.lastEventId)
         services.sender.send(next, call, headers, body.retainedDuplicate())
@@ -139,13 +160,6 @@
         services.dispatcher.assignWaiting()
     }
 
-    private fun finished() {
-        waiting?.let { services.dispatcher.cancel(it) }
-        waiting = null
-        turn.settle()
-        if (body !== call.request.body) body.release()
-    }
-
     /** Handles the events of one attempt at the endpoint of [state]. */
     private inner class AttemptOutcome(private val state: EndpointState) : AttemptHandler {
         private val responseBuffer = ResponseBuffer(route.kind == RouteKind.STREAM) { head, event ->
--- /dev/null
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/StreamVersions.kt
@@ -0,0 +1,78 @@
+package io.jasmineford.gateway.call
+
+import io.jasmineford.gateway.endpoint.EndpointState
+import io.jasmineford.gateway.endpoint.VersionMix
+import io.jasmineford.gateway.turn.ProgramKey
+import io.jasmineford.gateway.turn.StreamOrigin
+import io.jasmineford.gateway.turn.StreamOrigins
+
+/** Where a stream that a caller takes up again may go on. */
+sealed interface StreamContinuation {
+    /** At endpoints of [version]; of any version if it is null. */
+    data class At(val version: String?) : StreamContinuation
+
+    /** Nowhere, as its version is not known and endpoints of several versions serve. */
+    data object Nowhere : StreamContinuation
+}
+
+/**
+ * Keeps streams to the software version that began them, also when callers take them up again at another daemon.
+ *
+ * Versions are recorded and read only while endpoints of several versions serve, or did a short time ago.
+ *
+ * @param mixOf which versions the registered endpoints of a service have.
+ */
+class StreamVersions(
+    private val origins: StreamOrigins,
+    private val mixOf: (service: String) -> VersionMix,
+) {
+    /**
+     * Attempt of [call] at the endpoint of [state], which may begin its stream: while there are several versions, the
+     * response reaches [handler] once the version is recorded. [isCurrent] tells whether the call still waits for it.
+     */
+    internal fun attempt(
+        call: AdmittedCall,
+        state: EndpointState,
+        handler: AttemptHandler,
+        isCurrent: (EndpointAttempt) -> Boolean,
+    ): EndpointAttempt {
+        if (!call.route.isResumable || mixOf(call.service.name) == VersionMix.SINGLE) {
+            return EndpointAttempt(state, handler)
+        }
+        lateinit var next: EndpointAttempt
+        val recorded = RecordedAttempt(
+            handler = handler,
+            record = { onDone -> record(call, state.endpoint.version, onDone) },
+            isCurrent = { isCurrent(next) },
+            abort = { next.cancel() },
+        )
+        next = EndpointAttempt(state, recorded)
+        return next
+    }
+
+    private fun record(call: AdmittedCall, version: String, onDone: (Boolean) -> Unit) {
+        val attempt = call.attributes.attemptId
+        origins.record(keyOf(call, attempt), attempt, version, onDone)
+    }
+
+    /** Determines where [call] may run, which may take up a stream that another attempt began. */
+    internal fun find(call: AdmittedCall, onDone: (StreamContinuation) -> Unit) {
+        val attempt = call.attributes.resumedAttempt
+        if (attempt == null || mixOf(call.service.name) == VersionMix.SINGLE) {
+            onDone(StreamContinuation.At(version = null))
+            return
+        }
+        origins.find(keyOf(call, attempt), attempt) { origin ->
+            onDone(
+                when {
+                    origin is StreamOrigin.Recorded -> StreamContinuation.At(origin.version)
+                    mixOf(call.service.name) == VersionMix.MIXED -> StreamContinuation.Nowhere
+                    else -> StreamContinuation.At(version = null)
+                },
+            )
+        }
+    }
+
+    private fun keyOf(call: AdmittedCall, attempt: String) =
+        ProgramKey(call.accountName, call.attributes.program ?: attempt)
+}
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -5,6 +5,7 @@
 import io.jasmineford.gateway.call.Dispatcher
 import io.jasmineford.gateway.call.EndpointSender
 import io.jasmineford.gateway.call.NamedRateReader
+import io.jasmineford.gateway.call.StreamVersions
 import io.jasmineford.gateway.call.TurnCoordinator
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.endpoint.Endpoint
@@ -19,6 +20,7 @@
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.peer.PeerRole
 import io.jasmineford.gateway.peer.PeerTable
+import io.jasmineford.gateway.turn.StreamOrigins
 import io.jasmineford.gateway.turn.TokenReserver
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -83,6 +85,7 @@
         rateLimiter = state.rateLimiter,
         metrics = metrics,
         latencyBaseline = RouteLatencyBaseline(),
+        streamVersions = StreamVersions(StreamOrigins(quorum), state.directory::versionMix),
     )
     private val server: CallerServer = CallerServer(
         group = node.group,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -98,11 +98,25 @@
     }
 }
 
+/** Software versions of the registered endpoints of a service. */
+enum class VersionMix {
+    /** All have the same version, and have had for longer than a stream lasts. */
+    SINGLE,
+
+    /** All have the same version, but that may be new. */
+    RECENTLY_MIXED,
+
+    /** There are several versions. */
+    MIXED,
+}
+
 /** Registered endpoints by service, less those that are draining or in an evacuated availability zone. */
 class EndpointDirectory(private val clock: MonotonicClock) {
     private val states = HashMap<String, EndpointState>()
     private var evacuated: Set<String> = emptySet()
     private var byService: Map<String, List<EndpointState>> = emptyMap()
+    private val startedAt = clock.now()
+    private val mixedAt = HashMap<String, Duration>()
 
     /** All registered endpoints. */
     val all: Collection<EndpointState> get() = states.values
@@ -112,9 +126,20 @@
         val present = endpoints.associateBy { it.id }
         states.keys.retainAll(present.keys)
         present.values.forEach(::register)
+        byService.keys.filter(::hasSeveralVersions).forEach { mixedAt[it] = clock.now() }
         byService = states.values.groupBy { it.endpoint.service }
     }
 
+    /** Which software versions the endpoints of [service] have, those included that get no new calls. */
+    fun versionMix(service: String): VersionMix = when {
+        hasSeveralVersions(service) -> VersionMix.MIXED
+        clock.now() - (mixedAt[service] ?: startedAt) < STREAM_TIME -> VersionMix.RECENTLY_MIXED
+        else -> VersionMix.SINGLE
+    }
+
+    private fun hasSeveralVersions(service: String): Boolean =
+        byService[service].orEmpty().distinctBy { it.endpoint.version }.size > 1
+
     private fun register(endpoint: Endpoint) {
         val known = states[endpoint.id]
         when {
@@ -151,4 +176,9 @@
     /** Whether a call that was assigned to [state] may still be sent there. */
     fun isUsable(state: EndpointState): Boolean =
         states[state.endpoint.id] === state && !state.endpoint.isDraining && state.endpoint.zone !in evacuated
+
+    private companion object {
+        /** Longer than a stream and its caller's attempts to take it up again last. */
+        val STREAM_TIME = 6.seconds
+    }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
@@ -87,22 +87,25 @@
     }
 
     /** Decides by the merged entries of a majority, since each daemon may have missed some. */
-    private fun decideByEntries(entry: TokenEntry, budget: Long, onDone: (Reservation) -> Unit) {
+    private fun decideByEntries(entry: TokenEntry, budget: Long, onDone: (Reservation) -> Unit) =
+        ledger(entry.program) { ledger ->
+            if (ledger == null) {
+                onDone(Reservation.Unknown)
+                return@ledger
+            }
+            val total = ledger.total - ledger.abandoned(wallMillis()).coerceAtMost(entry.tokens.toLong())
+            val isContested = ledger.settled + entry.tokens <= budget
+            onDone(if (total <= budget) Reservation.Granted else Reservation.BudgetSpent(total, isContested))
+        }
+
+    /** Reads the merged entries of [program] at a majority; [onDone] gets null when there is none. */
+    fun ledger(program: ProgramKey, onDone: (TokenLedger?) -> Unit) {
         val ledger = TokenLedger()
         sendToAll(
-            request = HistoryRequest.Tokens(entry.program),
+            request = HistoryRequest.Tokens(program),
             awaitsAll = true,
             accept = { reply -> (reply as? HistoryReply.Tokens)?.entries?.onEach(ledger::apply) != null },
-        ) { hasMajority ->
-            val total = ledger.total - ledger.abandoned(wallMillis()).coerceAtMost(entry.tokens.toLong())
-            onDone(
-                when {
-                    !hasMajority -> Reservation.Unknown
-                    total <= budget -> Reservation.Granted
-                    else -> Reservation.BudgetSpent(total, isContested = ledger.settled + entry.tokens <= budget)
-                },
-            )
-        }
+        ) { hasMajority -> onDone(ledger.takeIf { hasMajority }) }
     }
 
     /** Stores the settled tokens and the record of a turn; [onDone] gets whether a majority has them on disk. */
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
@@ -14,6 +14,7 @@
 import io.jasmineford.gateway.noOpLog
 import io.jasmineford.gateway.store.Scheduler
 import io.jasmineford.gateway.turn.HistoryQuorum
+import io.jasmineford.gateway.turn.StreamOrigins
 import io.jasmineford.gateway.turn.TokenReserver
 import io.netty.buffer.ByteBuf
 import io.netty.channel.EventLoop
@@ -50,6 +51,7 @@
         rateLimiter = AccountRateLimiter(clock, RateLimitTolerance(1.seconds, 0.1, 1.0), { 0 }, { 1 }),
         metrics = CallMetrics(),
         latencyBaseline = RouteLatencyBaseline(),
+        streamVersions = StreamVersions(StreamOrigins(quorum), directory::versionMix),
     )
 }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
@@ -109,17 +109,16 @@
     }
 
     private fun serve(socket: ServerSocket, events: String, isWhole: Boolean, isOnlyForResumed: Boolean) {
+        val length = events.length + if (isWhole) 0 else 1
+        val answer = "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\nContent-Length: $length\r\n\r\n$events"
         while (!socket.isClosed) {
             try {
                 socket.accept().use { connection ->
                     val reader = connection.getInputStream().bufferedReader()
                     val head = generateSequence { reader.readLine() }.takeWhile { it.isNotEmpty() }.toList()
                     val isResumed = head.any { it.startsWith("Last-Event-Id", ignoreCase = true) }
-                    val length = events.length + if (isWhole) 0 else 1
-                    val refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-                    val ok = "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\nContent-Length: $length\r\n\r\n"
-                    val answer = if (isOnlyForResumed && !isResumed) refusal else ok + events
-                    connection.getOutputStream().write(answer.toByteArray())
+                    val isRefused = isOnlyForResumed && !isResumed
+                    connection.getOutputStream().write((if (isRefused) REFUSAL else answer).toByteArray())
                 }
             } catch (_: IOException) {
                 // The daemon has closed the connection, or the test has ended.
@@ -140,7 +139,8 @@
         fun replace(vararg servers: Server) {
             val endpoints = servers.map {
                 val address = InetSocketAddress(InetAddress.getLoopbackAddress(), it.port)
-                endpoint(it.name, zone = if (it.version == "v1") "a" else "b").copy(address = address, version = it.version)
+                val zone = if (it.version == "v1") "a" else "b"
+                endpoint(it.name, zone).copy(address = address, version = it.version)
             }
             loop.submit { directory.replace(endpoints) }.get()
         }
@@ -150,9 +150,9 @@
                 .add("Attempt", id).add("Program", resumes ?: id).add("Budget", "1000").add("Tokens", "1,1")
             resumes?.let { headers.add("Resumes", it).add("Last-Event-Id", "1") }
             val request = CallerRequest(HttpMethod.POST, "/p/", headers, Unpooled.EMPTY_BUFFER)
-            val route = Route(
-                "r", "h", "/p/", RouteKind.STREAM, CALL_TIMEOUT, 1.seconds, 0, emptyList(), 3, isResumable = true,
-            )
+            val kind = RouteKind.STREAM
+            val plain = Route("r", "h", "/p/", kind, CALL_TIMEOUT, 1.seconds, 0, emptyList())
+            val route = plain.copy(maxAttempts = 3, isResumable = true)
             val attributes = checkNotNull(headerNames.read(request))
             val call = AdmittedCall(request, attributes, route, null, Service("models"), id, clock.now(), 0)
             val caller = RecordingExchange()
@@ -185,6 +185,7 @@
     private companion object {
         const val EVENT_1 = "id: 1\ndata: VERSION/1\n\n"
         const val EVENT_2 = "id: 2\ndata: VERSION/2\n\n"
+        const val REFUSAL = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
         const val CALLS = 20
         const val CONNECTIONS = 8
         const val WAIT_SECONDS = 20L
