--- a/review/lib/Fleet.java
+++ b/review/lib/Fleet.java
@@ -253,9 +253,13 @@
 
     /** Registers a worker in the store. */
     void register(String id, String service, String address, String zone, int slots, String state) {
-        store.put("servers", id, Json.of("Service", service, "Address", address, "Zone", zone, "Version", "v1",
+        register(id, service, address, zone, slots, state, "v1");
+    }
+
+    void register(String id, String service, String address, String zone, int slots, String state, String version) {
+        store.put("servers", id, Json.of("Service", service, "Address", address, "Zone", zone, "Version", version,
             "Slots", slots, "State", state, "ColdLeftMs", 0, "SeqNo", 1, "born", 1700000000000L));
-        Record.line("worker %s registers as %s", id, state);
+        Record.line("worker %s of version %s registers as %s", id, version, state);
     }
 
     private static void deleteAll(Path folder) throws IOException {
