--- a/review/lib/Fleet.java
+++ b/review/lib/Fleet.java
@@ -225,17 +225,20 @@
                 "ReadsPerS", 2000, "HistoryS", 20, "ValueBytes", 1048576, "TtlMinMs", 1000));
     }
 
-    /** Writes the config: routes and services as given, and one tenant with the key `key-1`. */
+    /** Writes the config: routes and services as given, and two tenants with the keys `key-1` and `key-2`. */
     void configure(long version, List<Object> routes, List<Object> services) {
         store.put("config", "main", Json.of(
             "Version", version, "Routes", routes, "Services", services,
             "Limits", Json.of("MaxHeaderBytes", 16384, "MaxBodyBytes", 4194304, "HeaderTimeoutMs", 3000,
                 "IdleTimeoutMs", 15000),
-            "Tenants", List.of(Json.of("Name", "club", "ApiKeys", List.of("key-1"), "Priority", 1, "RatePerS", 0,
-                "Burst", 0))));
+            "Tenants", List.of(tenant("club", "key-1"), tenant("league", "key-2"))));
         Record.line("config version %d is acknowledged", version);
     }
 
+    private static Map<String, Object> tenant(String name, String key) {
+        return Json.of("Name", name, "ApiKeys", List.of(key), "Priority", 1, "RatePerS", 0, "Burst", 0);
+    }
+
     static Map<String, Object> route(String name, String kind, String service, int timeoutMs, int targetMs,
         int attempts, boolean isStateful, double retentionS, boolean isResumable) {
         return Json.of("Name", name, "Host", "agents.example", "PathPrefix", "/" + name + "/", "RouteKind", kind,
--- a/review/lib/ForeignAnswer.java
+++ b/review/lib/ForeignAnswer.java
@@ -11,7 +11,11 @@
 /** Faulty workers send additional bytes after some of their complete answers: a second answer without an attempt id. */
 final class ForeignAnswer {
     private static final int CLIENTS = 40;
-    private static final int TRAFFIC_S = 20;
+    private static final int TRAFFIC_S = 12;
+
+    /** The workers are faulty once, for 5 s. */
+    private static final int FAULTY_FROM_S = 4;
+    private static final int FAULTY_S = 5;
     private static final int WORK_MS = 18;
 
     /** Time between the end of an answer and the additional bytes. */
@@ -22,6 +26,7 @@
 
     private static final AtomicInteger ANSWERS = new AtomicInteger();
     private static volatile boolean hasTrouble;
+    private static volatile double begin;
 
     private ForeignAnswer() {
     }
@@ -44,7 +49,8 @@
         AtomicInteger own = new AtomicInteger();
         AtomicInteger foreign = new AtomicInteger();
         AtomicInteger others = new AtomicInteger();
-        double end = Record.now() + TRAFFIC_S;
+        begin = Record.now();
+        double end = begin + TRAFFIC_S;
         ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
         for (int c = 0; c < CLIENTS; c++) {
             Fleet.Machine edge = fleet.get(List.of("edge-a1", "edge-b1", "edge-c1").get(c % 3));
@@ -82,7 +88,9 @@
     private static void faulty(Worker worker, Http.Message request, Socket socket, OutputStream out)
         throws IOException, InterruptedException {
         sound(worker, request, socket, out);
-        if (!hasTrouble || ANSWERS.incrementAndGet() % ONE_IN != 0) return;
+        double at = Record.now() - begin;
+        boolean isFaulty = hasTrouble && at >= FAULTY_FROM_S && at < FAULTY_FROM_S + FAULTY_S;
+        if (!isFaulty || ANSWERS.incrementAndGet() % ONE_IN != 0) return;
         Thread.sleep(EXTRA_AFTER_MS);
         String id = request.header("X-Attempt-Id");
         Record.line("%s sends additional bytes after its answer to %s", worker.id, id);
--- a/review/lib/LostTurns.java
+++ b/review/lib/LostTurns.java
@@ -46,7 +46,7 @@
         }
         if (turns.size() < TURNS / 2) throw new IllegalStateException("too few first turns are answered");
         if (hasTrouble) {
-            Thread.sleep(1200);
+            Thread.sleep(1000);
             behind.start();
         }
         // The restarted machine counts as lost for CatchUpS (4.5 s), and so does the new one.
@@ -62,7 +62,7 @@
             wiped.wipe();
             Thread.sleep(700);
             wiped.start();
-            Thread.sleep(2800);
+            Thread.sleep(2300);
             // Programs go on while the third machine is dark: 503 is allowed then, 404 isn't.
             lost += continueTurns(fleet, turns, "while storage-b1 is dark");
             dark.start();
--- a/review/lib/ResumedVersions.java
+++ b/review/lib/ResumedVersions.java
@@ -24,10 +24,10 @@
     }
 
     private static boolean run(Fleet fleet, boolean hasTrouble) throws Exception {
-        fleet.addMachines(3, 3);
-        for (int i = 0; i < 3; i++) {
+        fleet.addMachines(7, 3);
+        for (int i = 0; i < 4; i++) {
             Worker worker = new Worker("w-" + i, fleet.ip(100 + i), ResumedVersions::serve);
-            fleet.register(worker.id, "llm", worker.address(), "" + (char) ('a' + i), 16, "ready");
+            fleet.register(worker.id, "llm", worker.address(), "" + (char) ('a' + i % 3), 16, "ready");
         }
         fleet.configure(1, List.of(Fleet.route("draft", "stream", "llm", 3000, 200, 2, false, 60, true)),
             List.of(Fleet.service("llm", 12)));
@@ -45,6 +45,10 @@
             fleet.register(next.id, "llm", next.address(), "c", 16, "ready", "v2");
             Thread.sleep(500);
             fleet.get("edge-a1").kill();
+            Http.daemon(() -> {
+                Thread.sleep(3000);
+                fleet.get("edge-a1").start();
+            });
         }
         AtomicInteger takenUp = new AtomicInteger();
         AtomicInteger goOn = new AtomicInteger();
