--- a/review/lib/LateRejection.java
+++ b/review/lib/LateRejection.java
@@ -10,15 +10,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A full worker rejects a request that may run once only. It sends a second copy of that rejection late, when the same
- * request has been sent to it again on the same channel and runs.
+ * Two full workers reject a request that may run once only. One of them sends a second copy of its rejection late, when
+ * the same request has been sent to it again on the same channel and runs.
  */
 final class LateRejection {
     private static final int REQUESTS = 40;
     private static final int WORK_MS = 74;
 
     /** Time after which the second copy of the rejection is sent. */
-    private static final int COPY_AFTER_MS = 30;
+    private static final int COPY_AFTER_MS = 50;
 
     private static final Map<String, AtomicInteger> RUNS = new ConcurrentHashMap<>();
     private static final Set<String> REJECTED = ConcurrentHashMap.newKeySet();
@@ -38,8 +38,11 @@
     private static boolean run(Fleet fleet, boolean hasTrouble) throws Exception {
         sendsCopies = hasTrouble;
         fleet.addMachines(3, 3);
-        Worker worker = new Worker("w-0", fleet.ip(100), LateRejection::serve);
-        fleet.register(worker.id, "app", worker.address(), "a", 6, "ready");
+        // One of two workers is faulty, a share of .5.
+        Worker faulty = new Worker("w-faulty", fleet.ip(100), LateRejection::serve);
+        Worker sound = new Worker("w-sound", fleet.ip(101), LateRejection::serve);
+        fleet.register(faulty.id, "app", faulty.address(), "a", 6, "ready");
+        fleet.register(sound.id, "app", sound.address(), "b", 6, "ready");
         fleet.configure(1, List.of(Fleet.route("post", "unsafe", "app", 3000, 400, 1, false, 0, false)),
             List.of(Fleet.service("app", 0)));
         fleet.start(40_000);
@@ -58,19 +61,19 @@
             if (entry.getValue().get() > 1) twice.add(entry.getKey() + " ran " + entry.getValue() + " times");
         }
         Record.line("%d of %d requests answered, run more than once: %s", answered, REQUESTS, twice);
-        if (answered < REQUESTS / 2 || REJECTED.isEmpty()) throw new IllegalStateException("the case wasn't reached");
+        if (answered < REQUESTS / 2 || REJECTED.size() < 2) throw new IllegalStateException("the case wasn't reached");
         return twice.isEmpty();
     }
 
     private static void serve(Worker worker, Http.Message request, Socket socket, OutputStream out)
         throws IOException, InterruptedException {
         String id = request.header("X-Attempt-Id");
-        if (id.equals(fullFor) && REJECTED.add(id)) {
+        if (id.equals(fullFor) && REJECTED.add(worker.id)) {
             Record.line("%s is full and rejects %s: 503 with X-Not-Executed", worker.id, id);
             byte[] rejection = Http.message("HTTP/1.1 503 Service Unavailable", new byte[0], "X-Attempt-Id: " + id,
                 "X-Not-Executed: 1");
             write(out, rejection);
-            if (sendsCopies) {
+            if (sendsCopies && worker.id.equals("w-faulty")) {
                 Http.daemon(() -> {
                     Thread.sleep(COPY_AFTER_MS);
                     Record.line("%s sends a second copy of the rejection of %s", worker.id, id);
