Replace a voter of the history group only while complete copies remain

Cause, from the logs of the untouched code: storage-a1 says complete=false entries=0; 32 ms after it has read the group the spare proposes epoch 2 with storage-a1 and without storage-b1, the only holder; storage-a1 and the spare copy from each other and say complete=true entries=0. Ruled out: turns that were not on two disks (storage-b1 comes back with entries=60). nextGroup counted voters that send heartbeats, complete or not, and a voter was complete once it had copied from all others, complete or not.

The stored group names since when each voter belongs to it and the earlier groups back to the last one whose voters were all complete; a voter is complete once its sources intersect each majority of each of these. Voters that were dropped are sources, too. A request tells its receiver since when it is a voter.

HistoryGroupTest fails with the old rule for changes and with the old rule for copies put back, HistoryQuorumTest with the old read of token entries.

HistoryGroupTest compares whole groups, so its expectations name the new fields; HistoryReplicaTest passes the group's stamp. No check was dropped.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryClients.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryClients.kt
@@ -18,8 +18,8 @@
     /** Reads and writes at majorities of the group. */
     val quorum = HistoryQuorum(
         view = ::view,
-        channel = { member, epoch, request, onReply ->
-            connectionTo(member).send(epoch, request, HistoryQuorum.REPLY_TIMEOUT, onReply)
+        channel = { member, stamp, request, onReply ->
+            connectionTo(member).send(stamp, request, HistoryQuorum.REPLY_TIMEOUT, onReply)
         },
         wallMillis = node.wallMillis,
     )
@@ -29,7 +29,7 @@
         val members = membership().peers.historyDaemons().filter { it.member.name in group.voters }.map { it.member }
         val unresponsive = members.filter { connections[it]?.isResponsive == false }.map { it.name }.toSet()
         val nearest = compareBy<Member>({ it.name in unresponsive }, { it.zone != node.settings.zone }, { it.name })
-        return GroupView(group.epoch, group.majority, members.sortedWith(nearest), unresponsive)
+        return GroupView(group.epoch, group.majority, members.sortedWith(nearest), unresponsive, group.joinedAt)
     }
 
     private fun connectionTo(member: Member): HistoryConnection {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
@@ -4,12 +4,10 @@
 import io.jasmineford.gateway.metrics.MetricsServer
 import io.jasmineford.gateway.peer.Heartbeat
 import io.jasmineford.gateway.peer.Peer
-import io.jasmineford.gateway.turn.GroupObservation
 import io.jasmineford.gateway.turn.HistoryGroup
 import io.jasmineford.gateway.turn.HistoryLog
 import io.jasmineford.gateway.turn.HistoryReplica
 import io.jasmineford.gateway.turn.HistoryServer
-import io.jasmineford.gateway.turn.HistoryStatus
 import io.jasmineford.gateway.turn.firstGroup
 import io.jasmineford.gateway.turn.nextGroup
 import kotlinx.serialization.json.JsonElement
@@ -46,6 +44,7 @@
     private var appliedEpoch = 0L
     private var proposedAt = -Duration.INFINITE
     private val retirement: Retirement = Retirement(node, history, membership, retirementStatus)
+    private val observer = GroupObserver(node, history, membership, retirement)
 
     /** Loads the log and opens the sockets. Called outside the event loop; all other functions run on it. */
     fun open() {
@@ -84,7 +83,7 @@
         val others = membership.peers.historyDaemons()
         val group = membership.storedGroup.group
         if (group == null) {
-            if (node.settings.isFirstStart) firstGroup(situation(others))?.let(membership.storedGroup::propose)
+            if (node.settings.isFirstStart) firstGroup(observer.observe(others))?.let(membership.storedGroup::propose)
         } else {
             applyGroup(group, others)
             if (node.clock.now() - proposedAt > PROPOSAL_INTERVAL) proposeChange(group, others)
@@ -93,30 +92,17 @@
     }
 
     private fun proposeChange(group: HistoryGroup, others: List<Peer>) {
-        val next = nextGroup(group, situation(others)) ?: return
+        // A daemon that joins and forgets that it was outside before can't tell what it acknowledged from a lost disk.
+        if (!history.isStatusSynced) return
+        val next = nextGroup(group, observer.observe(others)) ?: return
         proposedAt = node.clock.now()
         membership.storedGroup.propose(next)
     }
 
-    private fun situation(others: List<Peer>) = GroupObservation(
-        self = node.self,
-        members = others.map { it.member } + node.self,
-        unresponsive = others.filter(::isReplaceable).map { it.member.name }.toSet(),
-        retiring = retirement.names,
-        toleratedDiskLosses = node.settings.toleratedDiskLosses,
-    )
-
-    /**
-     * Whether [peer] has sent no heartbeat for longer than a loss of single datagrams explains, since it is registered.
-     */
-    private fun isReplaceable(peer: Peer): Boolean {
-        val limit = if (peer.member.zone == node.settings.zone) REPLACE_AFTER_IN_ZONE else REPLACE_AFTER_ELSEWHERE
-        return node.clock.now() - peer.lastSeenAt > limit
-    }
-
     /**
-     * Applies [group] to this daemon. A voter whose disk is incomplete copies the entries of all other voters under the
-     * same epoch and is complete then. A voter also copies from machines that are being retired.
+     * Applies [group] to this daemon. A voter that is not complete copies the entries of the other voters under the
+     * same epoch, and those of earlier voters while too few others are complete. A voter also copies from machines that
+     * are being retired.
      */
     private fun applyGroup(group: HistoryGroup, others: List<Peer>) {
         val isVoter = node.settings.name in group.voters
@@ -125,34 +111,31 @@
             replicator.restart()
         }
         if (group.epoch >= history.status.epoch) {
-            // Majorities of a group without this daemon write entries that it misses, so it is no longer complete.
-            history.updateStatus(HistoryStatus(group.epoch, history.status.isComplete && isVoter))
+            history.updateStatus(history.status.inGroup(group.stampFor(node.settings.name)))
         }
-        val isFilling = isVoter && !history.status.isComplete
+        val isFilling = isVoter && !history.status.isComplete && group.epoch == history.status.epoch
+        val sources = if (isFilling) sourceNames(group, others) else emptySet()
         others.forEach { peer ->
             val name = peer.member.name
-            val isSource = isFilling && name in group.voters && name !in replicator.completedSources
-            if (isSource || (isVoter && name in retirement.names)) replicator.copyFrom(peer)
+            if (name in sources || (isVoter && name in retirement.names)) replicator.copyFrom(peer, group)
         }
-        val sources = group.voters - node.settings.name
-        if (isFilling && replicator.completedSources.containsAll(sources)) {
-            history.updateStatus(history.status.copy(isComplete = true))
+        if (isFilling && group.isCopyComplete(node.settings.name, history.status, replicator.sources)) {
+            history.completeCopy()
         }
     }
 
+    /** Daemons to copy from: those that were not complete when they were copied may be complete now. */
+    private fun sourceNames(group: HistoryGroup, others: List<Peer>): Set<String> {
+        val complete = observer.completeAndHeard(others)
+        val earlier = group.earlier.flatMap { it.keys }
+        val names = if (group.voters.count { it in complete } < group.majority) group.voters + earlier else group.voters
+        return names.filter { replicator.sources[it]?.isComplete != true }.toSet()
+    }
+
     private companion object {
         /** Period in which the group is checked and copies are started. */
         val TICK_PERIOD = 200.milliseconds
 
-        /**
-         * Time without heartbeats after which a voter is replaced by a daemon of its zone; short, because the entries
-         * must be copied soon after a machine has started.
-         */
-        val REPLACE_AFTER_IN_ZONE = 1200.milliseconds
-
-        /** Time without heartbeats after which a voter is replaced by a daemon of another zone. */
-        val REPLACE_AFTER_ELSEWHERE = 3.seconds
-
         /** Time between proposals, within which the reply and the change of the stored group arrive. */
         val PROPOSAL_INTERVAL = 600.milliseconds
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
@@ -2,10 +2,12 @@
 
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.turn.HistoryConnection
+import io.jasmineford.gateway.turn.HistoryGroup
 import io.jasmineford.gateway.turn.HistoryQuorum
 import io.jasmineford.gateway.turn.HistoryReplica
 import io.jasmineford.gateway.turn.HistoryReply
 import io.jasmineford.gateway.turn.HistoryRequest
+import io.jasmineford.gateway.turn.HistoryStatus
 
 /** Copies the entries of other history daemons to this daemon's disk. */
 internal class HistoryReplicator(
@@ -15,31 +17,28 @@
     private val connections = HashMap<String, HistoryConnection>()
     private val positions = HashMap<String, Int>()
     private val running = HashSet<String>()
-    private val completed = HashSet<String>()
+    private val completed = HashMap<String, HistoryStatus>()
 
-    /** Names of the daemons whose entries have been copied completely under the current epoch of the group. */
-    val completedSources: Set<String> get() = completed
+    /** Daemons whose entries have been copied completely under the group in force, with their statuses then. */
+    val sources: Map<String, HistoryStatus> get() = completed
 
     /** Requires new complete copies under a new epoch; entries that are on disk already are not copied again. */
     fun restart() = completed.clear()
 
-    /** Starts to copy the entries of [peer] unless a copy from it is running. */
-    fun copyFrom(peer: Peer) {
-        if (running.add(peer.member.name)) copyNext(peer)
+    /** Starts to copy the entries of [peer] for [group] unless a copy from it is running. */
+    fun copyFrom(peer: Peer, group: HistoryGroup) {
+        if (running.add(peer.member.name)) copyNext(peer, group)
     }
 
-    private fun copyNext(peer: Peer) {
+    private fun copyNext(peer: Peer, group: HistoryGroup) {
         val name = peer.member.name
         val connection = connectionTo(peer)
         val request = HistoryRequest.Copy(positions[name] ?: 0, node.settings.name)
-        val epoch = history.status.epoch
-        connection.send(epoch, request, HistoryQuorum.REPLY_TIMEOUT) { reply ->
+        connection.send(group.stampFor(name), request, HistoryQuorum.REPLY_TIMEOUT) { reply ->
             if (reply is HistoryReply.Copied) {
-                history.storeCopied(reply.entries) {
+                history.write(reply.entries) {
                     positions[name] = reply.next
-                    // From now on the source refuses requests of an older epoch, so no entry can follow the end.
-                    if (reply.isEnd && epoch == history.status.epoch) completed.add(name)
-                    if (reply.isEnd) running.remove(name) else copyNext(peer)
+                    if (reply.isEnd) ended(name, reply.status, group) else copyNext(peer, group)
                 }
             } else {
                 running.remove(name)
@@ -47,6 +46,12 @@
         }
     }
 
+    private fun ended(name: String, status: HistoryStatus?, group: HistoryGroup) {
+        running.remove(name)
+        // From now on the source refuses requests of an older epoch, so no entry can follow the end.
+        if (status != null && group.epoch == history.status.epoch) completed[name] = status
+    }
+
     private fun connectionTo(peer: Peer): HistoryConnection {
         val key = "${peer.member.name}/${peer.member.incarnation}"
         return connections.getOrPut(key) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -45,16 +45,17 @@
 
     private val unsent = ArrayList<RequestFrame>()
 
-    /** Sends [request] for the group of [epoch]; [onReply] gets null when no reply arrives within [timeout]. */
-    fun send(epoch: Long, request: HistoryRequest, timeout: Duration, onReply: (HistoryReply?) -> Unit) {
+    /** Sends [request] for the group of [stamp]; [onReply] gets null when no reply arrives within [timeout]. */
+    fun send(stamp: GroupStamp, request: HistoryRequest, timeout: Duration, onReply: (HistoryReply?) -> Unit) {
         val number = nextNumber++
         pending[number] = Pending(clock.now(), onReply)
         group.next().schedule({ timedOut(number) }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         val open = channel
+        val frame = RequestFrame(number, stamp.epoch, request, stamp.joinedAt)
         if (open != null) {
-            open.writeFrame(peerCbor.encodeToByteArray(RequestFrame(number, epoch, request)))
+            open.writeFrame(peerCbor.encodeToByteArray(frame))
         } else {
-            unsent.add(RequestFrame(number, epoch, request))
+            unsent.add(frame)
             connect()
         }
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryGroup.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryGroup.kt
@@ -6,18 +6,56 @@
 /**
  * Membership of the replica group of history daemons, stored in the platform's object store.
  *
- * @property epoch increases with each change; daemons reject requests that carry an older one.
+ * @property epoch increases by one with each change; daemons reject requests that carry an older one.
  * @property voters names of the daemons that form quorums: each turn is on the disks of a majority of them.
+ * @property joinedAt epoch since which each voter has belonged to the group; 0 for those of the first group.
+ * @property earlier the preceding groups, oldest first, back to the latest one whose voters were all complete: for each
+ * of their voters the epoch since which it belonged. Some acknowledged entries may be held by their voters only.
  */
 @Serializable
 data class HistoryGroup(
     val epoch: Long,
     val voters: List<String>,
+    val joinedAt: Map<String, Long> = emptyMap(),
+    val earlier: List<Map<String, Long>> = emptyList(),
 ) {
     /** Number of voters in a majority. */
-    val majority: Int get() = voters.size / 2 + 1
+    val majority: Int get() = majorityOf(voters.size)
+
+    /** The voters, each with the epoch since which it has belonged to the group. */
+    internal val generation: Map<String, Long> get() = voters.associateWith { joinedAt[it] ?: 0 }
+
+    /** This group as it concerns the daemon [name]. */
+    fun stampFor(name: String) = GroupStamp(epoch, generation[name])
+
+    /**
+     * Whether the voter [self] of status [own] holds every acknowledged entry once it has copied all entries of
+     * [sources], which had the given statuses then, under this epoch.
+     *
+     * A majority acknowledged each entry, so daemons that hold what they acknowledged and that intersect each majority
+     * of a group hold all entries of that group. In the oldest group they must have been complete as well: only then do
+     * they hold the entries of the groups before.
+     */
+    fun isCopyComplete(self: String, own: HistoryStatus, sources: Map<String, HistoryStatus>): Boolean {
+        val statuses = sources + (self to own)
+        val generations = earlier + generation
+        return generations.withIndex().all { (index, voters) ->
+            val generationEpoch = epoch - (generations.size - 1 - index)
+            val holders = voters.count { (name, joinedAt) ->
+                val status = statuses[name]
+                when {
+                    status == null -> false
+                    index == 0 -> status.completeThrough >= joinedAt
+                    else -> status.completeThrough >= 0 || status.firstEpoch < generationEpoch
+                }
+            }
+            holders > voters.size - majorityOf(voters.size) || statuses.values.any { it.copiedAt > generationEpoch }
+        }
+    }
 }
 
+private fun majorityOf(voters: Int) = voters / 2 + 1
+
 /**
  * What a history daemon observes when it decides whether to propose another membership.
  *
@@ -26,6 +64,8 @@
  * @property unresponsive names of daemons that have sent no heartbeat for long enough to be replaced.
  * @property retiring names of daemons that operators are decommissioning.
  * @property toleratedDiskLosses number of disks that may be lost at once without losing data.
+ * @property complete names of daemons that were complete by their latest heartbeat, which may be old.
+ * @property heard names of daemons that have sent a heartbeat recently.
  */
 data class GroupObservation(
     val self: Member,
@@ -33,6 +73,8 @@
     val unresponsive: Set<String>,
     val retiring: Set<String>,
     val toleratedDiskLosses: Int,
+    val complete: Set<String>,
+    val heard: Set<String>,
 )
 
 /**
@@ -54,12 +96,13 @@
  * The membership that the daemon of [observation] should propose after [group], or null when it should propose none.
  *
  * A daemon outside the group replaces a voter that is unresponsive or retiring; a retiring voter without a replacement
- * removes itself. Only one voter changes at a time, and only while a majority remains reachable without it, so that the
- * new voter can copy all entries from the others.
+ * removes itself. Only one voter changes at a time, and only while a majority of complete voters remains reachable
+ * without it, so that the new voter can copy all entries from the others. A voter that is not complete, such as one
+ * that has lost its disk, does not count: the only copies may be on the disk of the voter to replace.
  */
 fun nextGroup(group: HistoryGroup, observation: GroupObservation): HistoryGroup? {
     val voterToReplace = observation.voterToReplace(group)
-    return if (voterToReplace == null || observation.responsiveVoters(group, voterToReplace) < group.majority) {
+    return if (voterToReplace == null || observation.completeVoters(group, voterToReplace) < group.majority) {
         null
     } else {
         replacement(group, observation, voterToReplace)
@@ -70,9 +113,9 @@
     val self = observation.self.name
     val spares = observation.members.map { it.name }.filter { it !in group.voters && observation.isUsable(it) }
     return when {
-        self in spares -> group.with(group.voters - voterToReplace + self)
+        self in spares -> group.with(group.voters - voterToReplace + self, observation)
         self == voterToReplace && spares.isEmpty() && group.voters.size > 2 ->
-            group.with(group.voters - voterToReplace)
+            group.with(group.voters - voterToReplace, observation)
         else -> null
     }
 }
@@ -90,7 +133,16 @@
         .firstOrNull()
 }
 
-private fun GroupObservation.responsiveVoters(group: HistoryGroup, voterToReplace: String) =
-    group.voters.count { it != voterToReplace && it !in unresponsive && isRegistered(it) }
+private fun GroupObservation.completeVoters(group: HistoryGroup, voterToReplace: String) =
+    group.voters.count { it != voterToReplace && it in complete && it in heard && isRegistered(it) }
 
-private fun HistoryGroup.with(voters: List<String>) = HistoryGroup(epoch + 1, voters.sorted())
+private fun HistoryGroup.with(next: List<String>, observation: GroupObservation): HistoryGroup {
+    val added = next - voters.toSet()
+    val stillNeeded = if (observation.complete.containsAll(voters)) emptyList() else earlier
+    return HistoryGroup(
+        epoch = epoch + 1,
+        voters = next.sorted(),
+        joinedAt = joinedAt.filterKeys { it in next } + added.associateWith { epoch + 1 },
+        earlier = stillNeeded + listOf(generation),
+    )
+}
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryMessage.kt
@@ -47,22 +47,6 @@
     val reservedAtMillis: Long = 0,
 )
 
-/**
- * Epoch and completeness of a history daemon.
- *
- * @property epoch highest epoch of the group that the daemon has seen; it rejects requests of older ones.
- * @property isComplete whether the daemon holds every entry it ever acknowledged, so that it counts towards a majority.
- * False after the loss of its disk or of its place in the group, until it has copied the entries of all other voters.
- */
-@Serializable
-data class HistoryStatus(
-    val epoch: Long,
-    val isComplete: Boolean,
-) {
-    /** Log lines contain this text, whose name differs from the class. */
-    override fun toString(): String = "HistoryStanding(epoch=$epoch, isComplete=$isComplete)"
-}
-
 /** Record of the history log, and of copies between history daemons; has at least one part. */
 @Serializable
 data class HistoryEntry(
@@ -108,10 +92,10 @@
     @SerialName("reserved")
     data class Reserved(val total: Long, val digest: Long) : HistoryReply
 
-    /** All token entries of a program. */
+    /** The token entries of a program; they count towards a majority if this daemon [isComplete]. */
     @Serializable
     @SerialName("tokens")
-    data class Tokens(val entries: List<TokenEntry>) : HistoryReply
+    data class Tokens(val entries: List<TokenEntry>, val isComplete: Boolean = true) : HistoryReply
 
     /** The entries are on disk. */
     @Serializable
@@ -123,10 +107,21 @@
     @SerialName("turns")
     class Turns(val turns: List<TurnRecord>, val missing: String?) : HistoryReply
 
-    /** Entries from the requested position on; [next] is the position after them, [isEnd] when no more are held now. */
+    /**
+     * Entries from the requested position on.
+     *
+     * @property next position after the entries.
+     * @property isEnd whether no more entries are held now.
+     * @property status status of the replying daemon; null if its release does not report one.
+     */
     @Serializable
     @SerialName("copied")
-    class Copied(val entries: List<HistoryEntry>, val next: Int, val isEnd: Boolean) : HistoryReply
+    class Copied(
+        val entries: List<HistoryEntry>,
+        val next: Int,
+        val isEnd: Boolean,
+        val status: HistoryStatus? = null,
+    ) : HistoryReply
 
     /** The request was fenced: it belongs to an epoch older than [epoch]. Nothing was done. */
     @Serializable
@@ -139,9 +134,16 @@
     data object Incomplete : HistoryReply
 }
 
-/** A request with its correlation number, which the reply repeats, and the epoch of the group known to the sender. */
+/**
+ * A request with its correlation number, which the reply repeats, and the group known to the sender.
+ *
+ * @property joinedAt see [GroupStamp.joinedAt].
+ */
 @Serializable
-class RequestFrame(val number: Long, val epoch: Long, val request: HistoryRequest)
+class RequestFrame(val number: Long, val epoch: Long, val request: HistoryRequest, val joinedAt: Long? = 0) {
+    /** The group known to the sender. */
+    val stamp: GroupStamp get() = GroupStamp(epoch, joinedAt)
+}
 
 /** A reply to the request with the same number. */
 @Serializable
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
@@ -35,8 +35,8 @@
 
 /** Sends one request to one history daemon. */
 fun interface HistoryChannel {
-    /** Sends [request] to [member] for the group of [epoch]; [onReply] gets null when no reply arrives in time. */
-    fun send(member: Member, epoch: Long, request: HistoryRequest, onReply: (HistoryReply?) -> Unit)
+    /** Sends [request] to [member] for the group of [stamp]; [onReply] gets null when no reply arrives in time. */
+    fun send(member: Member, stamp: GroupStamp, request: HistoryRequest, onReply: (HistoryReply?) -> Unit)
 }
 
 /**
@@ -45,13 +45,18 @@
  * @property majority number of voters in a majority; voters without a registration count too.
  * @property members registered voters, nearest first.
  * @property unresponsive names of voters without a recent heartbeat.
+ * @property joinedAt see [HistoryGroup.joinedAt].
  */
 data class GroupView(
     val epoch: Long,
     val majority: Int,
     val members: List<Member>,
     val unresponsive: Set<String> = emptySet(),
-)
+    val joinedAt: Map<String, Long> = emptyMap(),
+) {
+    /** The group as it concerns the voter [name]. */
+    fun stampFor(name: String) = GroupStamp(epoch, joinedAt[name] ?: 0)
+}
 
 /**
  * Quorum reads and writes of history.
@@ -98,13 +103,16 @@
             onDone(if (total <= budget) Reservation.Granted else Reservation.BudgetSpent(total, isContested))
         }
 
-    /** Reads the merged entries of [program] at a majority; [onDone] gets null when there is none. */
+    /** Reads the merged entries of [program] at a majority of complete daemons; [onDone] gets null without one. */
     fun ledger(program: ProgramKey, onDone: (TokenLedger?) -> Unit) {
         val ledger = TokenLedger()
         sendToAll(
             request = HistoryRequest.Tokens(program),
             awaitsAll = true,
-            accept = { reply -> (reply as? HistoryReply.Tokens)?.entries?.onEach(ledger::apply) != null },
+            accept = { reply ->
+                (reply as? HistoryReply.Tokens)?.entries?.forEach(ledger::apply)
+                reply is HistoryReply.Tokens && reply.isComplete
+            },
         ) { hasMajority -> onDone(ledger.takeIf { hasMajority }) }
     }
 
@@ -136,7 +144,7 @@
         }
         val collector = ReplyCollector(group, awaitsAll, accept, onDone)
         group.members.forEach { member ->
-            channel.send(member, group.epoch, request, collector::onReply)
+            channel.send(member, group.stampFor(member.name), request, collector::onReply)
             // Once a majority has replied, unresponsive daemons are not waited for.
             if (member.name in group.unresponsive) collector.stopAwaitingOne()
         }
@@ -194,14 +202,15 @@
                 onDone(if (isAbsent && newer.isEmpty()) ChainLookup.NoSuchTurn else ChainLookup.Unknown)
                 return
             }
-            channel.send(group.members[index], group.epoch, HistoryRequest.Chain(id, account)) { reply ->
+            val member = group.members[index]
+            channel.send(member, group.stampFor(member.name), HistoryRequest.Chain(id, account)) { reply ->
                 val turns = (reply as? HistoryReply.Turns)?.turns.orEmpty()
                 val missing = (reply as? HistoryReply.Turns)?.missing
                 when {
                     turns.isNotEmpty() && missing == null -> onDone(ChainLookup.Found(turns + newer))
                     turns.isNotEmpty() && missing != null -> read(missing, turns + newer)
                     else -> {
-                        if (reply is HistoryReply.Turns) withoutTurn.add(group.members[index].name)
+                        if (reply is HistoryReply.Turns) withoutTurn.add(member.name)
                         ask(id, newer, index + 1)
                     }
                 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
@@ -27,6 +27,11 @@
     var status = HistoryStatus(epoch = 0, isComplete = false)
         private set
 
+    private var syncedStatus = status
+
+    /** Whether the status is on disk. Before it is, a crash makes the daemon forget which groups it has seen. */
+    val isStatusSynced: Boolean get() = status == syncedStatus
+
     /** Number of entries held. */
     val size: Int get() = state.size
 
@@ -37,37 +42,74 @@
         val bytes = log.replay { entry ->
             entry.status?.let { status = it } ?: state.apply(entry)
         }
+        syncedStatus = status
         events.event("history-loaded", "entries" to state.size, "bytes" to bytes, "standing" to status)
         Thread(::writeLoop, "history-writer").apply { isDaemon = true }.start()
-        if (isFirstStart && !status.isComplete) updateStatus(status.copy(isComplete = true))
+        if (isFirstStart && !status.knowsGroup) updateStatus(status.copied())
     }
 
     /** Changes the status; it is on disk before any later write is acknowledged. */
     fun updateStatus(next: HistoryStatus) {
         if (next == status) return
         status = next
-        events.event("history-standing", "epoch" to next.epoch, "complete" to next.isComplete, "entries" to state.size)
-        writeQueue.add(PendingWrite(listOf(HistoryEntry(status = next))) {})
+        events.event(
+            "history-standing",
+            "epoch" to next.epoch,
+            "complete" to next.isComplete,
+            "entries" to state.size,
+            "complete_through" to next.completeThrough,
+            "copied_at" to next.copiedAt,
+            "first_epoch" to next.firstEpoch,
+        )
+        writeStatus(next) {}
+    }
+
+    /** Makes this voter complete once that is on disk, unless the group has changed until then. */
+    fun completeCopy() {
+        val copied = status.copied()
+        writeStatus(copied) { if (status.epoch == copied.epoch) updateStatus(copied) }
+    }
+
+    private fun writeStatus(next: HistoryStatus, onSynced: () -> Unit) {
+        val entry = HistoryEntry(status = next)
+        writeQueue.add(
+            PendingWrite(listOf(entry)) {
+                syncedStatus = next
+                onSynced()
+            },
+        )
     }
 
     /**
-     * Handles [request] of a sender that knows the group of [epoch]; [reply] is called on the control thread.
+     * Handles [request] of a sender that knows the group of [stamp]; [reply] is called on the control thread.
      *
-     * Requests of an older epoch are fenced, except copies.
+     * Requests of an older epoch are fenced, except copies. With an empty disk, nothing is acknowledged before the
+     * stored group is known: an epoch of a client may be older than entries that were lost.
      */
-    fun handle(epoch: Long, request: HistoryRequest, reply: (HistoryReply) -> Unit) {
-        if (epoch < status.epoch && request !is HistoryRequest.Copy) {
-            reply(HistoryReply.StaleGroup(status.epoch))
-            return
+    fun handle(stamp: GroupStamp, request: HistoryRequest, reply: (HistoryReply) -> Unit) {
+        when {
+            !status.knowsGroup -> reply(HistoryReply.Incomplete)
+            stamp.epoch < status.epoch && request !is HistoryRequest.Copy -> {
+                reply(HistoryReply.StaleGroup(status.epoch))
+            }
+            else -> {
+                if (stamp.epoch > status.epoch) updateStatus(status.inGroup(stamp))
+                serve(request, reply)
+            }
         }
-        if (epoch > status.epoch) updateStatus(status.copy(epoch = epoch))
-        serve(request, reply)
     }
 
     private fun serve(request: HistoryRequest, reply: (HistoryReply) -> Unit) {
         when (request) {
             is HistoryRequest.Reserve -> write(listOf(HistoryEntry(tokens = request.entry))) {
-                reply(reserved(request.entry.program))
+                val ledger = state.tokens(request.entry.program)
+                reply(
+                    if (status.isComplete) {
+                        HistoryReply.Reserved(ledger.total, ledger.digest)
+                    } else {
+                        HistoryReply.Incomplete
+                    },
+                )
             }
             is HistoryRequest.Finish -> {
                 val entries = listOfNotNull(
@@ -76,24 +118,16 @@
                 )
                 write(entries) { reply(HistoryReply.Finished) }
             }
-            is HistoryRequest.Tokens -> reply(HistoryReply.Tokens(state.tokens(request.program).entries.toList()))
+            is HistoryRequest.Tokens -> {
+                val entries = state.tokens(request.program).entries.toList()
+                reply(HistoryReply.Tokens(entries, status.isComplete))
+            }
             is HistoryRequest.Chain -> reply(chain(request))
-            is HistoryRequest.Copy -> reply(copy(request))
-        }
-    }
-
-    /** Stores entries copied from another replica; [onSynced] is called when they are on disk. */
-    fun storeCopied(entries: List<HistoryEntry>, onSynced: () -> Unit) = write(entries, onSynced)
-
-    private fun reserved(program: ProgramKey): HistoryReply {
-        val ledger = state.tokens(program)
-        return if (status.isComplete) {
-            HistoryReply.Reserved(
-                ledger.total,
-                ledger.digest
-            )
-        } else {
-            HistoryReply.Incomplete
+            is HistoryRequest.Copy -> {
+                val copied = copy(request)
+                // The reader counts on the epoch that fences older requests here, so it has to be on disk first.
+                write(emptyList()) { reply(copied) }
+            }
         }
     }
 
@@ -113,10 +147,11 @@
         copiedUpTo[request.reader] = request.from
         val entries = state.entriesFrom(request.from, COPY_ENTRIES)
         val next = request.from + entries.size
-        return HistoryReply.Copied(entries, next, isEnd = next >= state.size)
+        return HistoryReply.Copied(entries, next, isEnd = next >= state.size, status)
     }
 
-    private fun write(entries: List<HistoryEntry>, onSynced: () -> Unit) {
+    /** Stores [entries], which may be copied from another replica; [onSynced] is called when they are on disk. */
+    fun write(entries: List<HistoryEntry>, onSynced: () -> Unit) {
         val newEntries = entries.filter { state.apply(it) }
         // A duplicate is not written again, but its first copy may still wait for its sync: the reply queues behind it.
         writeQueue.add(PendingWrite(newEntries, onSynced))
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryServer.kt
@@ -35,7 +35,7 @@
     private inner class RequestHandler : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             val frame = peerCbor.decodeFromByteArray<RequestFrame>((message as ByteBuf).readAndRelease())
-            replica.handle(frame.epoch, frame.request) { reply ->
+            replica.handle(frame.stamp, frame.request) { reply ->
                 context.channel().writeFrame(peerCbor.encodeToByteArray(ReplyFrame(frame.number, reply)))
             }
         }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryFormatTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryFormatTest.kt
@@ -140,6 +140,19 @@
         val json = """{"epoch":7,"voters":["h1","h2","h3"]}"""
         assertEquals(json, Json.encodeToString(HistoryGroup.serializer(), group))
         assertEquals(group, Json.decodeFromString(HistoryGroup.serializer(), json))
+        val changed = HistoryGroup(8, listOf("h2", "h3", "h4"), mapOf("h4" to 8L), listOf(group.generation))
+        val changedJson = """{"epoch":8,"voters":["h2","h3","h4"],"joinedAt":{"h4":8},""" +
+            """"earlier":[{"h1":0,"h2":0,"h3":0}]}"""
+        assertEquals(changedJson, Json.encodeToString(HistoryGroup.serializer(), changed))
+        assertEquals(changed, Json.decodeFromString(HistoryGroup.serializer(), changedJson))
+    }
+
+    @Test
+    fun `a status of the release before is complete since its epoch, or holds nothing of older epochs`() {
+        val complete = """{"epoch":7,"isComplete":true}"""
+        val incomplete = """{"epoch":7,"isComplete":false}"""
+        assertEquals(HistoryStatus(7, true, 7, 0, 0), Json.decodeFromString(HistoryStatus.serializer(), complete))
+        assertEquals(HistoryStatus(7, false, -1, 0, 7), Json.decodeFromString(HistoryStatus.serializer(), incomplete))
     }
 
     @Test
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryGroupTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryGroupTest.kt
@@ -3,7 +3,9 @@
 import io.jasmineford.gateway.peer.Member
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 class HistoryGroupTest {
     private fun member(name: String) =
@@ -15,9 +17,20 @@
         unresponsive: Set<String> = emptySet(),
         retiring: Set<String> = emptySet(),
         disks: Int = 1,
-    ) = GroupObservation(member(self), members.map(::member), unresponsive, retiring, disks)
+    ) = GroupObservation(
+        self = member(self),
+        members = members.map(::member),
+        unresponsive = unresponsive,
+        retiring = retiring,
+        toleratedDiskLosses = disks,
+        complete = members.toSet(),
+        heard = members.toSet() - unresponsive,
+    )
+
+    private fun GroupObservation.incomplete(name: String) = copy(complete = complete - name)
 
     private val group = HistoryGroup(4, listOf("a1", "b1", "c1"))
+    private val generation = mapOf("a1" to 0L, "b1" to 0L, "c1" to 0L)
 
     @Test
     fun `the initial group is picked round-robin over the zones`() {
@@ -43,7 +56,7 @@
     @Test
     fun `a spare member replaces an unresponsive voter`() {
         val next = nextGroup(group, observation("a2", "a1", "b1", "c1", "a2", unresponsive = setOf("a1")))
-        assertEquals(HistoryGroup(5, listOf("a2", "b1", "c1")), next)
+        assertEquals(HistoryGroup(5, listOf("a2", "b1", "c1"), mapOf("a2" to 5L), listOf(generation)), next)
     }
 
     @Test
@@ -62,11 +75,65 @@
     @Test
     fun `a retiring voter without a replacement leaves the group`() {
         val next = nextGroup(group, observation("a1", "a1", "b1", "c1", retiring = setOf("a1")))
-        assertEquals(HistoryGroup(5, listOf("b1", "c1")), next)
+        assertEquals(HistoryGroup(5, listOf("b1", "c1"), earlier = listOf(generation)), next)
     }
 
     @Test
     fun `an unresponsive voter stays in the group while there is no spare member`() {
         assertNull(nextGroup(group, observation("b1", "a1", "b1", "c1", unresponsive = setOf("a1"))))
     }
+
+    /** Guards against a change that drops the only disk that holds acknowledged turns. */
+    @Test
+    fun `a voter that is not complete does not count as a copy when another one is replaced`() {
+        val members = arrayOf("a1", "b1", "c1", "b2")
+        val b1 = setOf("b1")
+        assertNull(nextGroup(group, observation("b2", *members, unresponsive = b1).incomplete("a1")))
+        assertNull(nextGroup(group, observation("b2", *members, retiring = b1).incomplete("a1")))
+        assertNull(nextGroup(group, observation("b1", "a1", "b1", "c1", retiring = b1).incomplete("a1")))
+    }
+
+    @Test
+    fun `a voter that has just fallen silent does not count as a copy`() {
+        val members = arrayOf("a1", "b1", "c1", "b2")
+        val observation = observation("b2", *members, unresponsive = setOf("b1"))
+        assertNull(nextGroup(group, observation.copy(heard = observation.heard - "a1")))
+    }
+
+    @Test
+    fun `earlier groups are kept until all voters were complete`() {
+        val second = checkNotNull(nextGroup(group, observation("a2", "b1", "c1", "a2")))
+        val third = nextGroup(second, observation("b2", "b1", "c1", "b2"))
+        assertEquals(listOf(generation, mapOf("a2" to 5L, "b1" to 0L, "c1" to 0L)), third?.earlier)
+        val settled = nextGroup(second, observation("b2", "b1", "c1", "b2", "a2", unresponsive = setOf("a2")))
+        assertEquals(listOf(mapOf("a2" to 5L, "b1" to 0L, "c1" to 0L)), settled?.earlier)
+    }
+
+    @Test
+    fun `a voter that joined is complete with the copies of a majority of the voters before`() {
+        val next = HistoryGroup(5, listOf("a2", "b1", "c1"), mapOf("a2" to 5L), listOf(generation))
+        val own = HistoryStatus(0, isComplete = false).inGroup(GroupStamp(4, null)).inGroup(GroupStamp(5, 5))
+        val complete = HistoryStatus(5, isComplete = true)
+        val left = HistoryStatus(4, isComplete = true).inGroup(GroupStamp(5, null))
+        val wiped = HistoryStatus(0, isComplete = false).inGroup(GroupStamp(5, 0))
+        assertFalse(next.isCopyComplete("a2", own, mapOf("b1" to complete)))
+        assertFalse(next.isCopyComplete("a2", own, mapOf("b1" to wiped, "c1" to complete)))
+        assertTrue(next.isCopyComplete("a2", own, mapOf("b1" to complete, "c1" to complete)))
+        assertTrue(next.isCopyComplete("a2", own, mapOf("a1" to left, "b1" to wiped, "c1" to complete)))
+    }
+
+    @Test
+    fun `a voter that lost its disk needs the entries of all majorities without it`() {
+        val wiped = HistoryStatus(0, isComplete = false).inGroup(GroupStamp(4, 0))
+        val complete = HistoryStatus(4, isComplete = true)
+        assertFalse(group.isCopyComplete("a1", wiped, mapOf("b1" to complete)))
+        assertTrue(group.isCopyComplete("a1", wiped, mapOf("b1" to complete, "c1" to complete)))
+    }
+
+    @Test
+    fun `a daemon that joins again is not complete even if it never noticed that it had left`() {
+        val status = HistoryStatus(4, isComplete = true)
+        assertTrue(status.inGroup(GroupStamp(6, joinedAt = 0)).isComplete)
+        assertFalse(status.inGroup(GroupStamp(6, joinedAt = 6)).isComplete)
+    }
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryQuorumTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryQuorumTest.kt
@@ -5,6 +5,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 class HistoryQuorumTest {
@@ -47,7 +48,7 @@
             val (turns, missing) = state.chain(request.id, request.account)
             if (missing != null && isIncomplete) HistoryReply.Incomplete else HistoryReply.Turns(turns, missing)
         }
-        is HistoryRequest.Tokens -> HistoryReply.Tokens(state.tokens(request.program).entries.toList())
+        is HistoryRequest.Tokens -> HistoryReply.Tokens(state.tokens(request.program).entries.toList(), !isIncomplete)
         is HistoryRequest.Copy -> HistoryReply.Incomplete
     }
 
@@ -117,6 +118,22 @@
         assertEquals(listOf("t1", "t2"), found.turns.map { it.id })
     }
 
+    /** Guards against a budget, or the version of a stream, that is judged by a daemon that lost its disk. */
+    @Test
+    fun `token entries are not read from a majority with a daemon that is not complete`() {
+        val program = ProgramKey("club", "p")
+        down.add("c")
+        quorum.finish(TokenEntry(program, "t1", TURN_TOKENS, isSettled = true), null) {}
+        settle()
+        states["a"] = HistoryState()
+        incomplete.add("a")
+        down.apply { clear() }.add("b")
+        var ledger: TokenLedger? = null
+        quorum.ledger(program) { ledger = it }
+        settle()
+        assertNull(ledger)
+    }
+
     @Test
     fun `reservations that some daemons missed are all counted`() {
         val program = ProgramKey("club", "p")
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryReplicaTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryReplicaTest.kt
@@ -19,7 +19,7 @@
 
     private fun HistoryReplica.ask(epoch: Long, request: HistoryRequest): HistoryReply {
         var reply: HistoryReply? = null
-        handle(epoch, request) { reply = it }
+        handle(GroupStamp(epoch), request) { reply = it }
         while (reply == null) checkNotNull(control.poll(10, TimeUnit.SECONDS)) { "no reply" }()
         return checkNotNull(reply)
     }
@@ -63,4 +63,31 @@
         assertEquals(true, second.isEnd)
         assertEquals(first.next, replica.copiedUpTo["reader"])
     }
+
+    private fun emptied() = replica().also { it.updateStatus(it.status.inGroup(GroupStamp(1))) }
+
+    @Test
+    fun `a replica with an empty disk acknowledges nothing before it knows the stored group`() {
+        val replica = replica()
+        assertEquals(HistoryReply.Incomplete, replica.ask(3, HistoryRequest.Finish(null, null)))
+        replica.updateStatus(replica.status.inGroup(GroupStamp(3)))
+        assertEquals(HistoryReply.Finished, replica.ask(3, HistoryRequest.Finish(null, null)))
+    }
+
+    @Test
+    fun `a replica whose disk is empty is complete only on the first start of the deployment`() {
+        emptied().ask(3, reserve("t1"))
+        assertEquals(HistoryReply.Incomplete, replica(isFirstStart = true).ask(3, reserve("t2")))
+    }
+
+    @Test
+    fun `the entries of a replica that is not complete are marked in its replies`() {
+        val replica = emptied()
+        replica.ask(1, reserve("t1"))
+        val tokens = assertIs<HistoryReply.Tokens>(replica.ask(1, HistoryRequest.Tokens(ProgramKey("club", "p"))))
+        assertEquals(false, tokens.isComplete)
+        assertEquals(1, tokens.entries.size)
+        val copied = assertIs<HistoryReply.Copied>(replica.ask(1, HistoryRequest.Copy(0, "reader")))
+        assertEquals(false, copied.status?.isComplete)
+    }
 }
