Send a call on each connection once only

Cause, from the log of the entry daemon and the record of the endpoint: the call is rejected at 3.518 s, sent again and run at 3.523 s; the copy is sent at 3.571 s, and the daemon logs call-not-executed for the same endpoint in the same millisecond, then sends the call for the fourth time; it runs again at 3.598 s. All sendings of a call have the id of the caller's attempt, so the id can't tell their responses apart, and the pool hands out the connection that was used last, which is the one of the rejection. Ruled out: a sending to another endpoint (w-sound ran nothing) and a client's retry (one attempt).

Change: a call remembers the connections that have carried it, and the pool gives it another one. The connection stays in use for other calls, whose ids differ. The same holds for every response after which a call is sent again, such as a 500 on a route that may be repeated. Other ways in which responses are matched: history daemons' replies by numbers that one connection never uses twice; the store's by connection, which is closed at a time-out.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -48,8 +48,17 @@
     fun broken(reason: String)
 }
 
-/** One attempt to run a call at an endpoint. */
-class EndpointAttempt(val state: EndpointState, internal val handler: AttemptHandler) {
+/**
+ * One attempt to run a call at an endpoint.
+ *
+ * @property usedConnections connections that have carried the call. All its attempts have the same id, so a late copy
+ * of the response to one of them can be told from the response to another by its connection only.
+ */
+class EndpointAttempt(
+    val state: EndpointState,
+    internal val handler: AttemptHandler,
+    internal val usedConnections: MutableSet<HttpClientConnection> = HashSet(),
+) {
     internal var connection: HttpClientConnection? = null
     internal var isCancelled = false
 
@@ -80,7 +89,7 @@
         val pool = pools.getOrPut(attempt.state.endpoint.address) {
             ConnectionPool(group, attempt.state.endpoint.address, clock)
         }
-        pool.acquire { connection ->
+        pool.acquire(isEligible = { it !in attempt.usedConnections }) { connection ->
             when {
                 attempt.isCancelled -> {
                     body.release()
@@ -97,6 +106,7 @@
                 }
                 else -> {
                     attempt.connection = connection
+                    attempt.usedConnections.add(connection)
                     connection.send(requestOf(attempt, call, headers, body), Listener(attempt, call, connection, pool))
                 }
             }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -5,6 +5,7 @@
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
 import io.jasmineford.gateway.http.CallerExchange
+import io.jasmineford.gateway.http.HttpClientConnection
 import io.netty.buffer.ByteBuf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -30,6 +31,7 @@
         if (body !== call.request.body) body.release()
     }
     private val tried = HashSet<String>()
+    private val usedConnections = HashSet<HttpClientConnection>()
     private var streamVersion: String? = null
     private var sends = 0
     private var runs = 0
@@ -100,8 +102,8 @@
         tried.add(state.endpoint.id)
         val outcome = AttemptOutcome(state)
         val next = when (streamVersion) {
-            null -> services.streamVersions.attempt(call, state, outcome) { attempt === it }
-            else -> EndpointAttempt(state, outcome)
+            null -> services.streamVersions.attempt(call, state, outcome, usedConnections) { attempt === it }
+            else -> EndpointAttempt(state, outcome, usedConnections)
         }
         attempt = next
         val headers = call.headersFor(services.names, state, call.callerDeadline - clock.now(), turn.lastEventId)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/StreamVersions.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/StreamVersions.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.VersionMix
+import io.jasmineford.gateway.http.HttpClientConnection
 import io.jasmineford.gateway.turn.ProgramKey
 import io.jasmineford.gateway.turn.StreamOrigin
 import io.jasmineford.gateway.turn.StreamOrigins
@@ -34,10 +35,11 @@
         call: AdmittedCall,
         state: EndpointState,
         handler: AttemptHandler,
+        usedConnections: MutableSet<HttpClientConnection>,
         isCurrent: (EndpointAttempt) -> Boolean,
     ): EndpointAttempt {
         if (!call.route.isResumable || mixOf(call.service.name) == VersionMix.SINGLE) {
-            return EndpointAttempt(state, handler)
+            return EndpointAttempt(state, handler, usedConnections)
         }
         lateinit var next: EndpointAttempt
         val recorded = RecordedAttempt(
@@ -46,7 +48,7 @@
             isCurrent = { isCurrent(next) },
             abort = { next.cancel() },
         )
-        next = EndpointAttempt(state, recorded)
+        next = EndpointAttempt(state, recorded, usedConnections)
         return next
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ConnectionPool.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ConnectionPool.kt
@@ -17,19 +17,17 @@
 
     private val idle = ArrayDeque<Idle>()
 
-    /** Passes an idle or a new connection to [onDone]; null when the address can't be reached. */
-    fun acquire(onDone: (HttpClientConnection?) -> Unit) {
+    /** Passes an idle [isEligible] connection or a new one to [onDone]; null when the address can't be reached. */
+    fun acquire(isEligible: (HttpClientConnection) -> Boolean = { true }, onDone: (HttpClientConnection?) -> Unit) {
         val now = clock.now()
-        while (idle.isNotEmpty()) {
-            // The most recently used connection is the least likely to be closed by the server.
-            val last = idle.removeLast()
-            if (last.connection.isReusable && last.usableUntil > now) {
-                onDone(last.connection)
-                return
-            }
-            last.connection.close()
+        idle.removeAll { entry ->
+            val isUsable = entry.connection.isReusable && entry.usableUntil > now
+            if (!isUsable) entry.connection.close()
+            !isUsable
         }
-        HttpClientConnection.open(group, address, onDone)
+        // The most recently used connection is the least likely to be closed by the server.
+        val index = idle.indexOfLast { isEligible(it.connection) }
+        if (index >= 0) onDone(idle.removeAt(index).connection) else HttpClientConnection.open(group, address, onDone)
     }
 
     /** Returns [connection] to the pool, or closes it when it can't be reused. Closes connections idle for too long. */
