Record the software version of each resumable stream

Cause, from the logs: all daemons log endpoints-changed count=5 about 0.6 s after the streams began, and the daemon that is asked to go on logs call-resumes continuation=Nowhere and call-refused stream-version-unknown. The version was recorded only while several versions served, so these streams had no record, and without one a stream is refused while several serve. Ruled out: places (four endpoints of the version serve, new streams begin) and a history out of reach (it answered NotRecorded within 146 ms, else the reason differs).

The same cause let streams go on at another version. Versions were read only while several served: a daemon that was restarted after the endpoints of the old version had left, or one out of step that had not heard of a new version, took its only version for that of the stream; and where the record could not be read, a daemon went on at any version while it saw one.

Change: the version of every resumable stream is recorded before its first event and read when a caller takes it up. If the record can't be read the call is refused, which is true. Without history daemons, one version for some time is taken as before. A stream whose version was not known is recorded under the id that its caller names again.

StreamVersionTest: with the conditions put back, 3 of the 4 new tests fail (refused beside a new version; joined after a restart; joined by a daemon with an old view). The fourth, history out of reach, passes either way, as the reservation of the turn is refused then as well.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/StreamVersions.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/StreamVersions.kt
@@ -12,14 +12,15 @@
     /** At endpoints of [version]; of any version if it is null. */
     data class At(val version: String?) : StreamContinuation
 
-    /** Nowhere, as its version is not known and endpoints of several versions serve. */
+    /** Nowhere, as its version is not known and may be another than that of the endpoints. */
     data object Nowhere : StreamContinuation
 }
 
 /**
  * Keeps streams to the software version that began them, also when callers take them up again at another daemon.
  *
- * Versions are recorded and read only while endpoints of several versions serve, or did a short time ago.
+ * Each version is recorded, also while all endpoints have the same one: endpoints of another version may join, and
+ * those of this one leave, while the stream runs, and this daemon may learn of it later than others.
  *
  * @param mixOf which versions the registered endpoints of a service have.
  */
@@ -28,8 +29,8 @@
     private val mixOf: (service: String) -> VersionMix,
 ) {
     /**
-     * Attempt of [call] at the endpoint of [state], which may begin its stream: while there are several versions, the
-     * response reaches [handler] once the version is recorded. [isCurrent] tells whether the call still waits for it.
+     * Attempt of [call] at the endpoint of [state], which may begin its stream: the response reaches [handler] once the
+     * version is recorded. [isCurrent] tells whether the call still waits for it.
      */
     internal fun attempt(
         call: AdmittedCall,
@@ -38,7 +39,7 @@
         usedConnections: MutableSet<HttpClientConnection>,
         isCurrent: (EndpointAttempt) -> Boolean,
     ): EndpointAttempt {
-        if (!call.route.isResumable || mixOf(call.service.name) == VersionMix.SINGLE) {
+        if (!call.route.isResumable || isWithoutRecords(call)) {
             return EndpointAttempt(state, handler, usedConnections)
         }
         lateinit var next: EndpointAttempt
@@ -53,28 +54,38 @@
     }
 
     private fun record(call: AdmittedCall, version: String, onDone: (Boolean) -> Unit) {
-        val attempt = call.attributes.attemptId
+        // A stream whose version was not known goes on under the id that its caller names again next time.
+        val attempt = call.attributes.resumedAttempt ?: call.attributes.attemptId
         origins.record(keyOf(call, attempt), attempt, version, onDone)
     }
 
     /** Determines where [call] may run, which may take up a stream that another attempt began. */
     internal fun find(call: AdmittedCall, onDone: (StreamContinuation) -> Unit) {
         val attempt = call.attributes.resumedAttempt
-        if (attempt == null || mixOf(call.service.name) == VersionMix.SINGLE) {
+        if (attempt == null || isWithoutRecords(call)) {
             onDone(StreamContinuation.At(version = null))
             return
         }
-        origins.find(keyOf(call, attempt), attempt) { origin ->
-            onDone(
-                when {
-                    origin is StreamOrigin.Recorded -> StreamContinuation.At(origin.version)
-                    mixOf(call.service.name) == VersionMix.MIXED -> StreamContinuation.Nowhere
-                    else -> StreamContinuation.At(version = null)
-                },
-            )
-        }
+        origins.find(keyOf(call, attempt), attempt) { origin -> onDone(continuationOf(call, origin)) }
+    }
+
+    private fun continuationOf(call: AdmittedCall, origin: StreamOrigin): StreamContinuation = when (origin) {
+        is StreamOrigin.Recorded -> StreamContinuation.At(origin.version)
+        // The stream has no event yet, or began at a daemon of a release that did not record every version.
+        StreamOrigin.NotRecorded ->
+            if (mixOf(call.service.name) == VersionMix.MIXED) {
+                StreamContinuation.Nowhere
+            } else {
+                StreamContinuation.At(version = null)
+            }
+        // One version may be all that a daemon sees that is cut off, or all that is left of several.
+        StreamOrigin.Unknown -> StreamContinuation.Nowhere
     }
 
+    /** Whether no daemons keep records, in a deployment whose endpoints have had one version for some time. */
+    private fun isWithoutRecords(call: AdmittedCall) =
+        !origins.isKept && mixOf(call.service.name) == VersionMix.SINGLE
+
     private fun keyOf(call: AdmittedCall, attempt: String) =
         ProgramKey(call.accountName, call.attributes.program ?: attempt)
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryQuorum.kt
@@ -72,6 +72,9 @@
     private val channel: HistoryChannel,
     private val wallMillis: () -> Long,
 ) {
+    /** Whether a group is known. */
+    val hasGroup: Boolean get() = view() != null
+
     /** Reserves [entry] against [budget]. */
     fun reserve(entry: TokenEntry, budget: Long, onDone: (Reservation) -> Unit) {
         val replies = ArrayList<HistoryReply.Reserved>()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/StreamOrigins.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/StreamOrigins.kt
@@ -19,6 +19,9 @@
  * they are.
  */
 class StreamOrigins(private val quorum: HistoryQuorum) {
+    /** Whether a group of history daemons is known that keeps the records. */
+    val isKept: Boolean get() = quorum.hasGroup
+
     /** Records that [attempt] of [program] began at [version]; [onDone] gets whether a majority has it on disk. */
     fun record(program: ProgramKey, attempt: String, version: String, onDone: (Boolean) -> Unit) {
         val entry = TokenEntry(program, prefixOf(attempt) + version, tokens = 0, isSettled = true)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.call
 
+import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
 import io.jasmineford.gateway.config.Route
 import io.jasmineford.gateway.config.RouteKind
@@ -30,6 +31,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Streams beside endpoints of two software versions. Guards against a stream that holds events of both. */
@@ -91,6 +93,49 @@
         assertEquals("end", daemon.call("b1", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
     }
 
+    /** Guards against streams that are lost because a new version joined after they had begun. */
+    @Test
+    fun `a stream that began while one version served goes on at it beside another one`() {
+        repeat(CALLS) { index ->
+            val old = server("old", "v1", EVENT_1 + EVENT_2)
+            val first = Daemon(old).apply { passTime() }.call("a$index")
+            assertEquals("end", first.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+            val joined = Daemon(old, server("new", "v2", EVENT_1 + EVENT_2), zone = "b")
+            val second = joined.call("b$index", resumes = "a$index")
+            assertEquals("end", second.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+            assertEquals(setOf("v1"), second.versions(), "call $index")
+        }
+    }
+
+    /** Guards against streams that daemons join after a restart, when the endpoints of their version have left. */
+    @Test
+    fun `a stream does not go on at the only version that is left`() {
+        val first = Daemon(server("old", "v1", EVENT_1 + EVENT_2)).apply { passTime() }.call("a1")
+        assertEquals("end", first.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        val restarted = Daemon(server("new", "v2", EVENT_1 + EVENT_2))
+        assertEquals("503", restarted.call("b1", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+    }
+
+    /** Guards against streams that a restarted daemon joins before it reaches the history daemons. */
+    @Test
+    fun `a stream is refused while the history can't be read`() {
+        val daemon = Daemon(server("old", "v1", EVENT_2))
+        history.isReached = false
+        assertEquals("503", daemon.call("b1", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+    }
+
+    /** Guards against streams that a daemon joins whose view of the endpoints is old. */
+    @Test
+    fun `a daemon that has not heard of a version does not go on with its streams at another one`() {
+        val old = server("old", "v1", EVENT_1 + EVENT_2)
+        val first = Daemon(server("new", "v2", EVENT_1 + EVENT_2)).call("a1")
+        assertEquals("end", first.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        val stale = Daemon(old, zone = "b").apply { passTime() }
+        assertEquals("503", stale.call("b1", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        history.isReached = false
+        assertEquals("503", stale.call("b2", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+    }
+
     private fun RecordingExchange.versions() = parts.map { it.substringAfter("data: ").substringBefore('/') }.toSet()
 
     private class Server(val name: String, val version: String, val port: Int)
@@ -110,15 +155,14 @@
 
     private fun serve(socket: ServerSocket, events: String, isWhole: Boolean, isOnlyForResumed: Boolean) {
         val length = events.length + if (isWhole) 0 else 1
-        val answer = "HTTP/1.1 200 OK\r\nSignature: s\r\nConnection: close\r\nContent-Length: $length\r\n\r\n$events"
+        val answer = "Signature: s\r\nConnection: close\r\nContent-Length: $length\r\n\r\n$events"
         while (!socket.isClosed) {
             try {
                 socket.accept().use { connection ->
                     val reader = connection.getInputStream().bufferedReader()
                     val head = generateSequence { reader.readLine() }.takeWhile { it.isNotEmpty() }.toList()
-                    val isResumed = head.any { it.startsWith("Last-Event-Id", ignoreCase = true) }
-                    val isRefused = isOnlyForResumed && !isResumed
-                    connection.getOutputStream().write((if (isRefused) REFUSAL else answer).toByteArray())
+                    val isRefused = isOnlyForResumed && !head.hasHeader("Last-Event-Id")
+                    connection.getOutputStream().write(head.response(isRefused, answer).toByteArray())
                 }
             } catch (_: IOException) {
                 // The daemon has closed the connection, or the test has ended.
@@ -126,9 +170,19 @@
         }
     }
 
+    private fun List<String>.hasHeader(name: String) = any { it.startsWith(name, ignoreCase = true) }
+
+    /** Response to the request of this head, with its id. */
+    private fun List<String>.response(isRefused: Boolean, answer: String): String {
+        val id = first { it.startsWith("Attempt", ignoreCase = true) }
+        return if (isRefused) "HTTP/1.1 503 Full\r\n$id\r\n$REFUSAL" else "HTTP/1.1 200 OK\r\n$id\r\n$answer"
+    }
+
     /** A daemon with its own view of the endpoints; all daemons share the history. */
     private inner class Daemon(vararg servers: Server, zone: String = "a") {
-        private val clock = systemMonotonicClock()
+        private val system = systemMonotonicClock()
+        private var passed = Duration.ZERO
+        private val clock = MonotonicClock { system.now() + passed }
         private val directory = EndpointDirectory(clock)
         private val services = callServices(group, loop, directory, history.quorum, zone)
 
@@ -136,6 +190,11 @@
             replace(*servers)
         }
 
+        /** Lets time pass in which the same endpoints serve. */
+        fun passTime() {
+            loop.submit { passed += 60.seconds }.get()
+        }
+
         fun replace(vararg servers: Server) {
             val endpoints = servers.map {
                 val address = InetSocketAddress(InetAddress.getLoopbackAddress(), it.port)
@@ -167,7 +226,12 @@
     private class FakeHistory {
         private val entries = LinkedHashMap<String, TokenEntry>()
         private val members = List(3) { Member("s$it", 1, "a", "r", isEntry = false, ip = "", peerPort = 1) }
-        private val channel = HistoryChannel { _, _, request, onReply -> onReply(reply(request)) }
+        private val channel = HistoryChannel { _, _, request, onReply ->
+            onReply(if (isReached) reply(request) else null)
+        }
+
+        @Volatile
+        var isReached = true
         val quorum = HistoryQuorum({ GroupView(1, majority = 2, members) }, channel) { 0 }
 
         private fun reply(request: HistoryRequest): HistoryReply = when (request) {
@@ -185,7 +249,7 @@
     private companion object {
         const val EVENT_1 = "id: 1\ndata: VERSION/1\n\n"
         const val EVENT_2 = "id: 2\ndata: VERSION/2\n\n"
-        const val REFUSAL = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        const val REFUSAL = "Not-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
         const val CALLS = 20
         const val CONNECTIONS = 8
         const val WAIT_SECONDS = 20L
