Take responses without the id of a call for nobody's

Cause: a response without the id counted as the one to the request in flight. Endpoints echo the id in every response, so bytes without it belong to no call.

Change: such a response is skipped as one with another call's id is, and the connection is not used again. If no response of the call follows, the call ends as one that may have run; a refusal without the id is no promise.

EndpointSenderTest: both new tests fail with the old rule ("end 200 other", "not executed 503").

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -155,8 +155,9 @@
         private var refusedStatus: Int? = null
         private var refusalBytes = 0
 
+        // Endpoints echo the id in every response. Bytes without it, such as an extra response, belong to no call.
         override fun belongsToRequest(head: HttpResponse): Boolean =
-            head.headers()[names.attemptId]?.let { it == call.attributes.attemptId } ?: true
+            head.headers()[names.attemptId] == call.attributes.attemptId
 
         override fun onHead(head: HttpResponse) {
             val status = head.status().code()
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndlessResponseTest.kt
@@ -45,22 +45,22 @@
 
     @Test
     fun `a body without end ends the call as one that may have run`() {
-        assertEquals("502", outcomeOf("HTTP/1.1 200 OK\r\nSignature: s\r\n\r\n", RouteKind.UNSAFE))
+        assertEquals("502", outcomeOf("HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n\r\n", RouteKind.UNSAFE))
     }
 
     @Test
     fun `an event without end breaks the stream off`() {
-        assertEquals("502", outcomeOf("HTTP/1.1 200 OK\r\nSignature: s\r\n\r\ndata: ", RouteKind.STREAM))
+        assertEquals("502", outcomeOf("HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\n\r\ndata: ", RouteKind.STREAM))
     }
 
     @Test
     fun `a head without end ends the call as one that may have run`() {
-        assertEquals("502", outcomeOf("HTTP/1.1 200 OK\r\nSignature: s\r\nName: ", RouteKind.UNSAFE))
+        assertEquals("502", outcomeOf("HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\nName: ", RouteKind.UNSAFE))
     }
 
     @Test
     fun `a refusal with a body without end still says that the call has not run`() {
-        assertEquals("503", outcomeOf("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n\r\n", RouteKind.UNSAFE))
+        assertEquals("503", outcomeOf("HTTP/1.1 503 Full\r\nAttempt: a1\r\nNot-Executed: 1\r\n\r\n", RouteKind.UNSAFE))
     }
 
     @Test
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
@@ -38,18 +38,19 @@
 
     @Test
     fun `a success with a signature is passed on`() {
-        assertEquals("end 200 hello", outcomeOf("HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello"))
+        val answer = "HTTP/1.1 200 OK\r\n$ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello"
+        assertEquals("end 200 hello", outcomeOf(answer))
     }
 
     @Test
     fun `a success without a signature counts as broken`() {
-        val outcome = outcomeOf("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+        val outcome = outcomeOf("HTTP/1.1 200 OK\r\n$ID\r\nContent-Length: 5\r\n\r\nhello")
         assertEquals("broken success without a signature", outcome)
     }
 
     @Test
     fun `a failure needs no signature`() {
-        assertEquals("end 500 ", outcomeOf("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"))
+        assertEquals("end 500 ", outcomeOf("HTTP/1.1 500 Oh\r\n$ID\r\nContent-Length: 0\r\n\r\n"))
     }
 
     @Test
@@ -59,10 +60,25 @@
 
     @Test
     fun `a response with the not-executed header reports that the call did not run`() {
-        val answer = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        val answer = "HTTP/1.1 503 Full\r\n$ID\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
         assertEquals("not executed 503", outcomeOf(answer))
     }
 
+    /** Guards against bytes after a response, in the form of one, that reach the caller of the next call. */
+    @Test
+    fun `a response without the id of the call belongs to no call`() {
+        val foreign = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 5\r\n\r\nother"
+        val own = "HTTP/1.1 200 OK\r\n$ID\r\nSignature: s\r\nContent-Length: 5\r\n\r\nhello"
+        assertEquals("end 200 hello", outcomeOf(foreign + own))
+        assertEquals("broken connection closed", outcomeOf(foreign))
+    }
+
+    @Test
+    fun `a refusal without the id of the call does not tell that the call did not run`() {
+        val refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        assertEquals("broken connection closed", outcomeOf(refusal))
+    }
+
     /** Outcome of a call to an endpoint that sends [bytes] and closes the connection. */
     private fun outcomeOf(bytes: String): String = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
         thread {
@@ -119,4 +135,9 @@
             outcomes.add("broken $reason")
         }
     }
+
+    private companion object {
+        /** Header that endpoints echo. */
+        const val ID = "Attempt: a1"
+    }
 }
