Copy from history daemons of the release before

A daemon of the release before reports no status with its entries, so a voter of the new release could not become complete while the others were still to be updated. Its completeness is taken from its heartbeat then, as before.

Read, not played: a fleet of both releases. 63 tests of the turn and daemon packages pass.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
@@ -38,7 +38,7 @@
             if (reply is HistoryReply.Copied) {
                 history.write(reply.entries) {
                     positions[name] = reply.next
-                    if (reply.isEnd) ended(name, reply.status, group) else copyNext(peer, group)
+                    if (reply.isEnd) ended(peer, reply.status, group) else copyNext(peer, group)
                 }
             } else {
                 running.remove(name)
@@ -46,12 +46,16 @@
         }
     }
 
-    private fun ended(name: String, status: HistoryStatus?, group: HistoryGroup) {
-        running.remove(name)
+    private fun ended(peer: Peer, status: HistoryStatus?, group: HistoryGroup) {
+        running.remove(peer.member.name)
         // From now on the source refuses requests of an older epoch, so no entry can follow the end.
-        if (status != null && group.epoch == history.status.epoch) completed[name] = status
+        if (group.epoch == history.status.epoch) completed[peer.member.name] = status ?: statusToldBy(peer, group)
     }
 
+    /** Status of a daemon of a release whose replies contain none. */
+    private fun statusToldBy(peer: Peer, group: HistoryGroup) =
+        HistoryStatus(group.epoch, isComplete = peer.heartbeat?.isReady == true)
+
     private fun connectionTo(peer: Peer): HistoryConnection {
         val key = "${peer.member.name}/${peer.member.incarnation}"
         return connections.getOrPut(key) {
