Don't blame an endpoint when the version of a stream can't be recorded

Since the version of every resumable stream is recorded, an outage of the history daemons ends streams before their first event. Each of these counted as a failure of the endpoint and as a crash by the call, so that sound endpoints were avoided and calls refused after the outage.

An attempt that the daemon gives up for its own reason ends as abandoned: it may have run, is logged and retried as before, and is not held against the endpoint or the call. StreamVersionTest shows it.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -27,7 +27,7 @@
 private const val LAST_SUCCESS = 299
 private val SUCCESS = FIRST_SUCCESS..LAST_SUCCESS
 
-/** Receives the events of one attempt; [notSent], [notExecuted], [end] and [broken] are final. */
+/** Receives the events of one attempt; [notSent], [notExecuted], [end], [broken] and [abandoned] are final. */
 interface AttemptHandler {
     /** The request was not sent. */
     fun notSent(reason: String)
@@ -46,6 +46,9 @@
 
     /** The connection closed or the response was invalid; the call may have run. */
     fun broken(reason: String)
+
+    /** This daemon gave up the attempt for a reason that is not the endpoint's; the call may have run. */
+    fun abandoned(reason: String)
 }
 
 /**
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -219,6 +219,10 @@
         override fun broken(reason: String) {
             state.recordFailure()
             if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint)
+            abandoned(reason)
+        }
+
+        override fun abandoned(reason: String) {
             response.log(
                 "broken",
                 "endpoint" to state.endpoint.id,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/RecordedAttempt.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/RecordedAttempt.kt
@@ -51,6 +51,8 @@
 
     override fun broken(reason: String) = afterData { handler.broken(reason) }
 
+    override fun abandoned(reason: String) = afterData { handler.abandoned(reason) }
+
     private fun afterData(action: () -> Unit) {
         if (isRecording) end = action else action()
     }
@@ -69,7 +71,7 @@
             isStored -> end()
             else -> {
                 abort()
-                handler.broken("the version of the stream could not be recorded")
+                handler.abandoned("the version of the stream could not be recorded")
             }
         }
     }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EndpointSenderTest.kt
@@ -134,6 +134,10 @@
         override fun broken(reason: String) {
             outcomes.add("broken $reason")
         }
+
+        override fun abandoned(reason: String) {
+            outcomes.add("abandoned $reason")
+        }
     }
 
     private companion object {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
@@ -124,6 +124,16 @@
         assertEquals("503", daemon.call("b1", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
     }
 
+    /** Guards against sound endpoints and calls that are avoided after an outage of the history daemons. */
+    @Test
+    fun `an endpoint is not rated as failing when the version of a stream can't be recorded`() {
+        val daemon = Daemon(server("old", "v1", EVENT_1 + EVENT_2))
+        history.storesVersions = false
+        assertEquals("502", daemon.call("a1", waitsForEvent = false).outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        assertEquals(0.0, daemon.failureRate())
+        assertEquals(false, daemon.isPoison("a1"))
+    }
+
     /** Guards against streams that a daemon joins whose view of the endpoints is old. */
     @Test
     fun `a daemon that has not heard of a version does not go on with its streams at another one`() {
@@ -204,7 +214,17 @@
             loop.submit { directory.replace(endpoints) }.get()
         }
 
-        fun call(id: String, resumes: String? = null, onFirstEvent: () -> Unit = {}): RecordingExchange {
+        fun failureRate(): Double = loop.submit<Double> { directory.all.maxOf { it.failureRate } }.get()
+
+        fun isPoison(fingerprint: String): Boolean =
+            loop.submit<Boolean> { fingerprint in services.poisonCalls.counts() }.get()
+
+        fun call(
+            id: String,
+            resumes: String? = null,
+            waitsForEvent: Boolean = resumes == null,
+            onFirstEvent: () -> Unit = {},
+        ): RecordingExchange {
             val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
                 .add("Attempt", id).add("Program", resumes ?: id).add("Budget", "1000").add("Tokens", "1,1")
             resumes?.let { headers.add("Resumes", it).add("Last-Event-Id", "1") }
@@ -216,7 +236,7 @@
             val call = AdmittedCall(request, attributes, route, null, Service("models"), id, clock.now(), 0)
             val caller = RecordingExchange()
             loop.execute { ProxyCall(call, caller, services).start() }
-            if (resumes == null) caller.parts.poll(WAIT_SECONDS, TimeUnit.SECONDS)?.let(caller.parts::add)
+            if (waitsForEvent) caller.parts.poll(WAIT_SECONDS, TimeUnit.SECONDS)?.let(caller.parts::add)
             onFirstEvent()
             return caller
         }
@@ -232,15 +252,24 @@
 
         @Volatile
         var isReached = true
+
+        @Volatile
+        var storesVersions = true
         val quorum = HistoryQuorum({ GroupView(1, majority = 2, members) }, channel) { 0 }
 
         private fun reply(request: HistoryRequest): HistoryReply = when (request) {
             is HistoryRequest.Reserve -> HistoryReply.Reserved(0, 0).also { put(request.entry) }
             is HistoryRequest.Tokens -> HistoryReply.Tokens(entries.values.filter { it.program == request.program })
-            is HistoryRequest.Finish -> HistoryReply.Finished.also { request.tokens?.let(::put) }
+            is HistoryRequest.Finish -> finish(request.tokens)
             else -> HistoryReply.Incomplete
         }
 
+        private fun finish(entry: TokenEntry?): HistoryReply {
+            if (entry?.tokens == 0 && !storesVersions) return HistoryReply.Incomplete
+            entry?.let(::put)
+            return HistoryReply.Finished
+        }
+
         private fun put(entry: TokenEntry) {
             entries[entry.attempt] = entry
         }
