Let a history group grow again, and settle retirements in its own epoch

- A group that shrank by a retirement without a spare never grew again, so the next loss suspended it (seed 10).
A spare joins it now.
- With one voter lost and the other one to be retired, each spare chose the one to be retired, whose entries were needed, and proposed nothing (seed 2231).
The first voter is replaced without which all entries remain.
- A machine was taken away once its entries were copied, even for an earlier group, and what the copies covered was forgotten with that group (seed 18).
Copies are counted anew under each epoch, and complete voters note them, too.
- A group of two, both complete, forgot the group of three before; one of two was then taken for the holder of what two of three hold (seed 9371, LOST).
Earlier groups are kept while the group is smaller than they.

Ruled out as faults of the model itself: seeds 39 and 140 (nothing was synced, and nobody replaced lost machines, while the fleet settled).

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
@@ -119,7 +119,9 @@
             val name = peer.member.name
             if (name in sources || (isVoter && name in retirement.names)) replicator.copyFrom(peer, group)
         }
-        if (isFilling && group.isCopyComplete(node.settings.name, history.status, replicator.sources)) {
+        // Complete voters copy from a retiring machine, too, and hold all entries of the groups before then.
+        val mayHoldMore = isVoter && history.status.epoch == group.epoch && history.status.copiedAt < group.epoch
+        if (mayHoldMore && group.isCopyComplete(node.settings.name, history.status, replicator.sources)) {
             history.completeCopy()
         }
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryGroup.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryGroup.kt
@@ -9,8 +9,9 @@
  * @property epoch increases by one with each change; daemons reject requests that carry an older one.
  * @property voters names of the daemons that form quorums: each turn is on the disks of a majority of them.
  * @property joinedAt epoch since which each voter has belonged to the group; 0 for those of the first group.
- * @property earlier the preceding groups, oldest first, back to the latest one whose voters were all complete: for each
- * of their voters the epoch since which it belonged. Some acknowledged entries may be held by their voters only.
+ * @property earlier the preceding groups, oldest first, back to the latest one that was as large as those before and
+ * whose voters were all complete: for each of their voters the epoch since which it belonged. Some acknowledged entries
+ * may be held by their voters only.
  */
 @Serializable
 data class HistoryGroup(
@@ -75,14 +76,17 @@
     val toleratedDiskLosses: Int,
     val complete: Set<String>,
     val heard: Set<String>,
-)
+) {
+    /** Number of voters with which the losses are tolerated. */
+    internal val groupSize: Int get() = toleratedDiskLosses * 2 + 1
+}
 
 /**
  * The initial membership: 2n + 1 members for n tolerated disk losses, picked round-robin over the availability zones.
  * Null while too few members are registered.
  */
 fun firstGroup(observation: GroupObservation): HistoryGroup? {
-    val size = observation.toleratedDiskLosses * 2 + 1
+    val size = observation.groupSize
     val byZone = observation.members.sortedBy { it.name }
         .groupBy { it.zone }.toSortedMap().values.map { ArrayDeque(it) }
     val chosen = ArrayList<String>()
@@ -95,23 +99,28 @@
 /**
  * The membership that the daemon of [observation] should propose after [group], or null when it should propose none.
  *
- * A daemon outside the group replaces a voter that is unresponsive or retiring; a retiring voter without a replacement
- * removes itself. Only one voter changes at a time, and only while a majority of complete voters remains reachable
- * without it, so that the new voter can copy all entries from the others. A voter that is not complete, such as one
- * that has lost its disk, does not count: the only copies may be on the disk of the voter to replace.
+ * A daemon outside the group replaces a voter that is unresponsive or retiring, or joins a group that has lost voters;
+ * a retiring voter without a replacement removes itself. Only one voter changes at a time, and only while complete
+ * voters that hold all entries remain reachable without it, so that the new voter can copy from them. A voter that is
+ * not complete, such as one that has lost its disk, does not count: the only copies may be on the disk of the one to
+ * replace.
  */
 fun nextGroup(group: HistoryGroup, observation: GroupObservation): HistoryGroup? {
-    val voterToReplace = observation.voterToReplace(group)
-    return if (voterToReplace == null || observation.completeVoters(group, voterToReplace) < group.majority) {
-        null
-    } else {
-        replacement(group, observation, voterToReplace)
+    val toReplace = observation.votersToReplace(group)
+    val voterToReplace = toReplace.firstOrNull { observation.holdsAllWithout(it, group) }
+    val hasTooFew = group.voters.size < observation.groupSize
+    val isSpare = observation.self.name in observation.spares(group)
+    return when {
+        voterToReplace != null -> replacement(group, observation, voterToReplace)
+        toReplace.isEmpty() && hasTooFew && isSpare && observation.holdsAllWithout(null, group) ->
+            group.with(group.voters + observation.self.name, observation)
+        else -> null
     }
 }
 
 private fun replacement(group: HistoryGroup, observation: GroupObservation, voterToReplace: String): HistoryGroup? {
     val self = observation.self.name
-    val spares = observation.members.map { it.name }.filter { it !in group.voters && observation.isUsable(it) }
+    val spares = observation.spares(group)
     return when {
         self in spares -> group.with(group.voters - voterToReplace + self, observation)
         self == voterToReplace && spares.isEmpty() && group.voters.size > 2 ->
@@ -120,25 +129,32 @@
     }
 }
 
+private fun GroupObservation.spares(group: HistoryGroup) =
+    members.map { it.name }.filter { it !in group.voters && isUsable(it) }
+
 private fun GroupObservation.isUsable(name: String) = name !in unresponsive && name !in retiring
 
 private fun GroupObservation.isRegistered(name: String) = members.any { it.name == name }
 
-/** The voter to replace first: one of this daemon's own zone, if there is one. */
-private fun GroupObservation.voterToReplace(group: HistoryGroup): String? {
+/** The voters to replace, those of this daemon's own zone first. */
+private fun GroupObservation.votersToReplace(group: HistoryGroup): List<String> {
     val zones = members.associate { it.name to it.zone }
     return group.voters
         .filter { !isUsable(it) || !isRegistered(it) }
         .sortedBy { zones[it] != self.zone }
-        .firstOrNull()
 }
 
-private fun GroupObservation.completeVoters(group: HistoryGroup, voterToReplace: String) =
-    group.voters.count { it != voterToReplace && it in complete && it in heard && isRegistered(it) }
+/** Whether the complete voters other than [voter] intersect each majority of [group], so that they hold all entries. */
+private fun GroupObservation.holdsAllWithout(voter: String?, group: HistoryGroup): Boolean {
+    val complete = group.voters.count { it != voter && it in complete && it in heard && isRegistered(it) }
+    return complete > group.voters.size - group.majority
+}
 
 private fun HistoryGroup.with(next: List<String>, observation: GroupObservation): HistoryGroup {
     val added = next - voters.toSet()
-    val stillNeeded = if (observation.complete.containsAll(voters)) emptyList() else earlier
+    // Fewer voters than before are complete together, but need not intersect the majorities of a larger group.
+    val isSettled = observation.complete.containsAll(voters) && earlier.all { it.size <= voters.size }
+    val stillNeeded = if (isSettled) emptyList() else earlier
     return HistoryGroup(
         epoch = epoch + 1,
         voters = next.sorted(),
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
@@ -20,7 +20,10 @@
     private val state = HistoryState()
     private val writeQueue = LinkedBlockingQueue<PendingWrite>()
 
-    /** Number of this replica's entries that each other replica has on disk, by the reader's name. */
+    /**
+     * Number of this replica's entries that each other replica has on disk, by the reader's name; counted anew under
+     * each epoch, in which a reader takes note of what it has copied.
+     */
     val copiedUpTo = HashMap<String, Int>()
 
     /** Epoch and completeness of this replica. They are kept in the log, which a loss of the disk erases. */
@@ -51,6 +54,7 @@
     /** Changes the status; it is on disk before any later write is acknowledged. */
     fun updateStatus(next: HistoryStatus) {
         if (next == status) return
+        if (next.epoch != status.epoch) copiedUpTo.clear()
         status = next
         events.event(
             "history-standing",
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryGroupModelTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryGroupModelTest.kt
@@ -10,11 +10,19 @@
  * against acknowledged entries that a majority of complete voters lacks, and against voters that stay incomplete.
  */
 class HistoryGroupModelTest {
+    private val schedules = Integer.getInteger("historySchedules", SCHEDULES)
+
     @Test
-    fun `acknowledged entries are held by each majority of complete voters`() {
-        val schedules = Integer.getInteger("historySchedules", SCHEDULES)
+    fun `acknowledged entries are held by each majority of complete voters`() =
         repeat(schedules) { seed -> Fleet(seed).play() }
-    }
+
+    @Test
+    fun `acknowledged entries survive the loss of two disks of five`() =
+        repeat(schedules) { seed -> Fleet(seed, toleratedDiskLosses = 2).play() }
+
+    @Test
+    fun `acknowledged entries survive retirements`() =
+        repeat(schedules) { seed -> Fleet(seed, hasRetirements = true).play() }
 
     private class Daemon(val member: Member) {
         var entries: Set<Int> = emptySet()
@@ -42,18 +50,24 @@
         }
     }
 
-    private class Fleet(private val seed: Int) {
+    private class Fleet(
+        private val seed: Int,
+        private val toleratedDiskLosses: Int = 1,
+        private val hasRetirements: Boolean = false,
+    ) {
         private val random = Random(seed)
         private val daemons = LinkedHashMap<String, Daemon>()
         private val groups = ArrayList<HistoryGroup>()
         private val saidComplete = HashSet<String>()
         private val acknowledged = HashSet<Int>()
+        private val groupSize = 2 * toleratedDiskLosses + 1
+        private val retiring = HashSet<String>()
         private val steps = ArrayList<String>()
         private var diskLosses = 0
         private val group get() = groups.last()
 
         init {
-            repeat(VOTERS) { add().apply { status = status.copied() }.sync() }
+            repeat(groupSize) { add().apply { status = status.copied() }.sync() }
             saidComplete.addAll(daemons.keys)
             groups.add(HistoryGroup(epoch = 1, voters = daemons.keys.toList()))
         }
@@ -64,7 +78,14 @@
                 check()
             }
             daemons.values.filter { !it.isGone }.forEach { it.isUp = true }
-            repeat(SETTLING_ROUNDS) { daemons.values.forEach { tick(it, isReached = { true }) } }
+            // Operators replace machines that are gone.
+            while (daemons.values.count { !it.isGone && it.member.name !in retiring } < groupSize) add()
+            repeat(SETTLING_ROUNDS) {
+                daemons.values.forEach { daemon ->
+                    tick(daemon, isReached = { true })
+                    daemon.sync()
+                }
+            }
             check()
             assertTrue(group.voters.count { isComplete(it) } >= group.majority, "suspended for ever: ${report()}")
         }
@@ -72,17 +93,32 @@
         private fun step() {
             val daemon = daemons.values.filter { !it.isGone }.random(random)
             val cutOff = daemons.keys.filter { random.nextInt(CUT_ONE_IN) == 0 }.toSet()
-            when (random.nextInt(14)) {
+            when (random.nextInt(if (hasRetirements) 15 else 14)) {
                 in 0..3 -> write(cutOff)
                 in 4..7 -> daemons.values.shuffled(random).forEach { tick(it) { name -> name !in cutOff } }
                 in 8..9 -> daemon.sync()
-                10 -> if (daemon.isUp) daemon.crash().also { steps += "crash ${daemon.member.name}" }
+                10 -> crash(daemon)
                 11 -> daemon.isUp = true
                 12 -> loseDisk(daemon)
-                13 -> if (daemons.size < MAX_DAEMONS) steps += "add ${add().member.name}"
+                13 -> addSpare()
+                14 -> beginRetirement(daemon)
             }
         }
 
+        private fun crash(daemon: Daemon) {
+            if (!daemon.isUp) return
+            daemon.crash()
+            steps += "crash ${daemon.member.name}"
+        }
+
+        private fun addSpare() {
+            if (daemons.size < groupSize + SPARES) steps += "add ${add().member.name}"
+        }
+
+        private fun beginRetirement(daemon: Daemon) {
+            if (retiring.isEmpty() && retiring.add(daemon.member.name)) steps += "retire ${daemon.member.name}"
+        }
+
         private fun add(): Daemon {
             val name = "h${daemons.size}"
             val member = Member(name, 1, "z${daemons.size % 3}", "r", isEntry = false, ip = "", peerPort = 1)
@@ -93,7 +129,7 @@
         private fun loseDisk(daemon: Daemon) {
             if (daemon.member.name !in group.voters) return
             if (group.voters.all { isComplete(it) }) diskLosses = 0
-            if (diskLosses > 0) return
+            if (diskLosses >= toleratedDiskLosses) return
             diskLosses++
             daemon.crash()
             daemon.loseDisk()
@@ -128,20 +164,51 @@
             val heard = daemons.values.filter { it.isUp && !it.isGone && isReached(it.member.name) }
             heard.forEach { saidComplete -= it.member.name }
             heard.filter { it.status.isComplete }.forEach { saidComplete += it.member.name }
-            if (name in group.voters && !daemon.status.isComplete) fill(daemon, heard) else propose(daemon, heard)
+            if (name in group.voters) copyAsVoter(daemon, heard)
+            if (name !in group.voters || daemon.status.isComplete) propose(daemon, heard)
+            if (name in retiring) retire(daemon, heard)
+        }
+
+        /** Removes the machine of [daemon] once all voters are complete and hold its entries. */
+        private fun retire(daemon: Daemon, heard: List<Daemon>) {
+            val isCopied = group.voters.map(daemons::getValue).all {
+                it in heard && it.status.isComplete && isNoted(it, daemon) && it.entries.containsAll(daemon.entries)
+            }
+            if (daemon.member.name in group.voters || !isCopied) return
+            daemon.isGone = true
+            daemon.isUp = false
+            retiring.clear()
+            steps += "${daemon.member.name} is retired"
         }
 
+        private fun copyAsVoter(daemon: Daemon, heard: List<Daemon>) {
+            copy(daemon, heard.filter { it.member.name in retiring })
+            if (!daemon.status.isComplete) fill(daemon, heard)
+            completeCopy(daemon)
+        }
+
+        private fun isNoted(voter: Daemon, source: Daemon) =
+            voter.sourcesEpoch == group.epoch && source.member.name in voter.sources
+
         private fun fill(daemon: Daemon, heard: List<Daemon>) {
-            val name = daemon.member.name
             val names = group.voters + group.earlier.flatMap { it.keys }
-            heard.filter { it.member.name in names && it !== daemon && it.status.knowsGroup }.forEach { source ->
+            copy(daemon, heard.filter { it.member.name in names })
+        }
+
+        private fun copy(daemon: Daemon, sources: List<Daemon>) {
+            sources.filter { it !== daemon && it.status.knowsGroup }.forEach { source ->
                 val stamp = group.stampFor(source.member.name)
                 if (stamp.epoch > source.status.epoch) source.status = source.status.inGroup(stamp)
                 source.sync()
                 daemon.entries += source.entries
                 daemon.sources[source.member.name] = source.status
             }
-            if (group.isCopyComplete(name, daemon.status, daemon.sources)) {
+        }
+
+        private fun completeCopy(daemon: Daemon) {
+            val name = daemon.member.name
+            val mayHoldMore = daemon.status.copiedAt < group.epoch
+            if (mayHoldMore && group.isCopyComplete(name, daemon.status, daemon.sources)) {
                 daemon.status = daemon.status.copied()
                 daemon.sync()
                 steps += "$name is complete in ${group.epoch} with ${daemon.sources.keys}"
@@ -155,8 +222,8 @@
                 self = daemon.member,
                 members = daemons.values.filter { !it.isGone || random.nextBoolean() }.map { it.member },
                 unresponsive = daemons.keys - heardNames,
-                retiring = emptySet(),
-                toleratedDiskLosses = 1,
+                retiring = retiring.toSet(),
+                toleratedDiskLosses = toleratedDiskLosses,
                 complete = saidComplete.toSet(),
                 heard = heardNames,
             )
@@ -194,8 +261,7 @@
         const val SCHEDULES = 2000
         const val STEPS = 60
         const val SETTLING_ROUNDS = 12
-        const val VOTERS = 3
-        const val MAX_DAEMONS = 6
+        const val SPARES = 3
         const val CUT_ONE_IN = 5
     }
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryGroupTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryGroupTest.kt
@@ -83,6 +83,33 @@
         assertNull(nextGroup(group, observation("b1", "a1", "b1", "c1", unresponsive = setOf("a1"))))
     }
 
+    /** Guards against a group that tolerates no loss for ever after a retirement without a spare member. */
+    @Test
+    fun `a spare member joins a group that has lost a voter`() {
+        val small = HistoryGroup(5, listOf("b1", "c1"))
+        assertNull(nextGroup(small, observation("b1", "b1", "c1", "a2")))
+        val next = nextGroup(small, observation("a2", "b1", "c1", "a2"))
+        assertEquals(listOf("a2", "b1", "c1"), next?.voters)
+        assertEquals(mapOf("a2" to 6L), next?.joinedAt)
+        assertNull(nextGroup(group, observation("a2", "a1", "b1", "c1", "a2")))
+    }
+
+    /** Guards against a lost voter that is not replaced because the one that holds the entries is to be retired. */
+    @Test
+    fun `a lost voter is replaced before one that is being retired`() {
+        val small = HistoryGroup(5, listOf("b1", "c1"))
+        val lost = observation("b2", "b1", "b2", retiring = setOf("b1"))
+        assertEquals(listOf("b1", "b2"), nextGroup(small, lost)?.voters)
+    }
+
+    @Test
+    fun `in a group of two the remaining voter holds all entries`() {
+        val small = HistoryGroup(5, listOf("b1", "c1"))
+        val lost = observation("a2", "c1", "a2")
+        assertEquals(listOf("a2", "c1"), nextGroup(small, lost)?.voters)
+        assertNull(nextGroup(small, lost.incomplete("c1")))
+    }
+
     /** Guards against a change that drops the only disk that holds acknowledged turns. */
     @Test
     fun `a voter that is not complete does not count as a copy when another one is replaced`() {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryReplicaTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryReplicaTest.kt
@@ -90,4 +90,14 @@
         val copied = assertIs<HistoryReply.Copied>(replica.ask(1, HistoryRequest.Copy(0, "reader")))
         assertEquals(false, copied.status?.isComplete)
     }
+
+    /** Guards against a machine that is taken away although its entries were copied for an earlier group only. */
+    @Test
+    fun `copies are counted anew under each epoch`() {
+        val replica = replica(isFirstStart = true)
+        replica.ask(1, HistoryRequest.Copy(0, "reader"))
+        assertEquals(mapOf("reader" to 0), replica.copiedUpTo)
+        replica.updateStatus(replica.status.inGroup(GroupStamp(2)))
+        assertEquals(emptyMap(), replica.copiedUpTo)
+    }
 }
