--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -27,6 +27,21 @@
 private const val LAST_SUCCESS = 299
 private val SUCCESS = FIRST_SUCCESS..LAST_SUCCESS
 
+/**
+ * A response that belongs to no request.
+ *
+ * @property connection number of the connection on which it arrived.
+ * @property attempt id of a caller's attempt that it bears; null if it has none.
+ * @property isBusy whether another call waited for its response on the connection.
+ */
+data class UnmatchedResponse(
+    val address: InetSocketAddress,
+    val connection: Long,
+    val status: Int,
+    val attempt: String?,
+    val isBusy: Boolean,
+)
+
 /** Receives the events of one attempt; [notSent], [notExecuted], [end], [broken] and [abandoned] are final. */
 interface AttemptHandler {
     /** The request was not sent. */
@@ -63,6 +78,10 @@
     internal val usedConnections: MutableSet<HttpClientConnection> = HashSet(),
 ) {
     internal var connection: HttpClientConnection? = null
+
+    /** Number of the connection that carried the attempt; null before it was sent. */
+    var connectionNumber: Long? = null
+        internal set
     internal var isCancelled = false
 
     /** Closes the attempt's connection, so that the endpoint aborts the call. */
@@ -77,20 +96,26 @@
  *
  * @param isUsable whether an endpoint may still get calls; checked again when its connection is open.
  * @param onHead gets the headers of every response to a request, and the time at which the request was sent.
+ * @param onUnmatched gets each response that belongs to no request.
  */
 class EndpointSender(
     private val group: EventLoopGroup,
     private val clock: MonotonicClock,
     private val names: CallHeaderNames,
     private val onHead: (EndpointState, HttpHeaders, sentAt: Duration) -> Unit = { _, _, _ -> },
+    private val onUnmatched: (UnmatchedResponse) -> Unit = {},
     private val isUsable: (EndpointState) -> Boolean,
 ) {
     private val pools = HashMap<InetSocketAddress, ConnectionPool>()
 
     /** Sends [call] with [headers] and [body]; takes ownership of the body's reference. */
     fun send(attempt: EndpointAttempt, call: AdmittedCall, headers: HttpHeaders, body: ByteBuf) {
-        val pool = pools.getOrPut(attempt.state.endpoint.address) {
-            ConnectionPool(group, attempt.state.endpoint.address, clock)
+        val address = attempt.state.endpoint.address
+        val pool = pools.getOrPut(address) {
+            ConnectionPool(group, address, clock) { connection, head ->
+                val id = head.headers()[names.attemptId]
+                onUnmatched(UnmatchedResponse(address, connection.number, head.status().code(), id, connection.isBusy))
+            }
         }
         pool.acquire(isEligible = { it !in attempt.usedConnections }) { connection ->
             when {
@@ -109,6 +134,7 @@
                 }
                 else -> {
                     attempt.connection = connection
+                    attempt.connectionNumber = connection.number
                     attempt.usedConnections.add(connection)
                     connection.send(requestOf(attempt, call, headers, body), Listener(attempt, call, connection, pool))
                 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -124,13 +124,14 @@
     private fun giveUp(reason: String, retryAfter: Duration? = null) =
         if (runs == 0) response.refuse(UNAVAILABLE, reason, retryAfter) else response.fail(BAD_GATEWAY, reason)
 
-    private fun endStream(endpoint: Endpoint) {
+    private fun endStream(endpoint: Endpoint, connection: Long?) {
         response.log(
             "streamed",
             "endpoint" to endpoint.id,
             "version" to endpoint.version,
             "events" to turn.events,
             "sends" to sends,
+            "connection" to connection,
         )
         when {
             !response.isStarted -> response.fail(BAD_GATEWAY, "stream without events")
@@ -181,7 +182,12 @@
 
         override fun notExecuted(status: Int) {
             if (status != MISDIRECTED) state.recordFailure()
-            response.log("not-executed", "endpoint" to state.endpoint.id, "status" to status)
+            response.log(
+                "not-executed",
+                "endpoint" to state.endpoint.id,
+                "status" to status,
+                "connection" to attempt?.connectionNumber,
+            )
             attemptEnded(wasRun = false)
             retryOrGiveUp("endpoints refuse")
         }
@@ -202,16 +208,23 @@
                 head == null || responseBuffer.endsInsideEvent -> broken("answer ended inside an event")
                 head.status >= SERVER_ERROR && route.isRepeatable && runs + 1 < route.maxAttempts -> {
                     state.recordFailure()
+                    response.log(
+                        "endpoint-failed",
+                        "endpoint" to state.endpoint.id,
+                        "status" to head.status,
+                        "connection" to attempt?.connectionNumber,
+                    )
                     attemptEnded(wasRun = true)
                     retryOrGiveUp("endpoint failed")
                 }
                 else -> {
                     val timePerEvent = took / turn.events.coerceAtLeast(1)
+                    val connection = attempt?.connectionNumber
                     state.recordSuccess(services.latencyBaseline.relative(route.name, timePerEvent))
                     services.poisonCalls.recordResponse(call.fingerprint)
                     attemptEnded(wasRun = true)
                     services.dispatcher.completed(call.service, took)
-                    complete(head)
+                    complete(head, connection)
                 }
             }
         }
@@ -229,17 +242,24 @@
                 "version" to state.endpoint.version,
                 "reason" to reason,
                 "events" to turn.events,
+                "connection" to attempt?.connectionNumber,
             )
             attemptEnded(wasRun = true)
             retryOrGiveUp(reason)
         }
 
-        private fun complete(head: ResponseHead) {
+        private fun complete(head: ResponseHead, connection: Long?) {
             if (response.isDone) return
             if (responseBuffer.isStream) {
-                endStream(state.endpoint)
+                endStream(state.endpoint, connection)
             } else {
-                response.log("answered", "endpoint" to state.endpoint.id, "status" to head.status, "sends" to sends)
+                response.log(
+                    "answered",
+                    "endpoint" to state.endpoint.id,
+                    "status" to head.status,
+                    "sends" to sends,
+                    "connection" to connection,
+                )
                 response.sendComplete(head, responseBuffer.body())
             }
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -7,6 +7,7 @@
 import io.jasmineford.gateway.call.NamedRateReader
 import io.jasmineford.gateway.call.StreamVersions
 import io.jasmineford.gateway.call.TurnCoordinator
+import io.jasmineford.gateway.call.UnmatchedResponse
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointChooser
@@ -68,6 +69,7 @@
         clock = node.clock,
         names = names,
         onHead = NamedRateReader(names, node.log)::read,
+        onUnmatched = ::recordUnmatched,
         isUsable = state.directory::isUsable,
     )
     private val quorum = HistoryClients(node) { membership }.quorum
@@ -121,6 +123,18 @@
         MetricsServer(node.group, node.log, metrics).open(node.settings.metricsAddress)
     }
 
+    private fun recordUnmatched(response: UnmatchedResponse) {
+        metrics.unmatchedResponse()
+        node.log.event(
+            "response-unmatched",
+            "id" to response.attempt,
+            "address" to response.address,
+            "connection" to response.connection,
+            "status" to response.status,
+            "busy" to response.isBusy,
+        )
+    }
+
     /** Registers this daemon, starts the mirrors of the store and the periodic work. */
     fun start() {
         membership.start()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ConnectionPool.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ConnectionPool.kt
@@ -2,16 +2,22 @@
 
 import io.jasmineford.core.time.MonotonicClock
 import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpResponse
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Pool of idle connections to one address. */
+/**
+ * Pool of idle connections to one address.
+ *
+ * @param onUnmatched gets the head of each response that belongs to no request.
+ */
 class ConnectionPool(
     private val group: EventLoopGroup,
     private val address: InetSocketAddress,
     private val clock: MonotonicClock,
+    private val onUnmatched: (HttpClientConnection, HttpResponse) -> Unit = { _, _ -> },
 ) {
     private class Idle(val connection: HttpClientConnection, val usableUntil: Duration)
 
@@ -27,7 +33,11 @@
         }
         // The most recently used connection is the least likely to be closed by the server.
         val index = idle.indexOfLast { isEligible(it.connection) }
-        if (index >= 0) onDone(idle.removeAt(index).connection) else HttpClientConnection.open(group, address, onDone)
+        if (index >= 0) {
+            onDone(idle.removeAt(index).connection)
+        } else {
+            HttpClientConnection.open(group, address, onUnmatched, onDone)
+        }
     }
 
     /** Returns [connection] to the pool, or closes it when it can't be reused. Closes connections idle for too long. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -41,8 +42,21 @@
     fun onFailure(reason: String)
 }
 
-/** An HTTP/1.1 connection that carries one request at a time. Used on its event loop only. */
-class HttpClientConnection internal constructor(private val channel: Channel) : ChannelInboundHandlerAdapter() {
+/**
+ * An HTTP/1.1 connection that carries one request at a time. Used on its event loop only.
+ *
+ * @param onUnmatched gets the head of each response that belongs to no request; interim responses are not reported.
+ */
+class HttpClientConnection internal constructor(
+    private val channel: Channel,
+    private val onUnmatched: (HttpClientConnection, HttpResponse) -> Unit = { _, _ -> },
+) : ChannelInboundHandlerAdapter() {
+    /** Number by which log lines name the connection; unique in the process. */
+    val number: Long = lastNumber.incrementAndGet()
+
+    /** Whether a request waits for its response. */
+    val isBusy: Boolean get() = listener != null
+
     private var listener: ResponseListener? = null
     private var isSkipping = false
     private var isWritten = true
@@ -90,11 +104,15 @@
     private fun readHead(head: HttpResponse) {
         val current = listener
         if (current == null) {
+            onUnmatched(this, head)
             fail("response without a request")
             return
         }
         isSkipping = head.status().code() < FIRST_FINAL_STATUS || !current.belongsToRequest(head)
-        if (isSkipping && head.status().code() >= FIRST_FINAL_STATUS) isUnusable = true
+        if (isSkipping && head.status().code() >= FIRST_FINAL_STATUS) {
+            isUnusable = true
+            onUnmatched(this, head)
+        }
         if (!isSkipping) {
             isKeptAlive = HttpUtil.isKeepAlive(head)
             idleTimeoutSeconds = head.headers()["Keep-Alive"]?.substringAfter("timeout=", "")
@@ -142,19 +160,25 @@
         private const val MAX_LINE_BYTES = 8192
         private const val MAX_HEADER_BYTES = 65_536
         private const val MAX_CHUNK_BYTES = 65_536
+        private val lastNumber = AtomicLong()
 
         /** A host in the same region accepts within milliseconds; a lost SYN would be retransmitted only after 1 s. */
         val CONNECT_TIMEOUT: Duration = 400.milliseconds
 
         /** Opens a connection and passes it to [onDone]; null when that fails. */
-        fun open(group: EventLoopGroup, address: InetSocketAddress, onDone: (HttpClientConnection?) -> Unit) {
+        fun open(
+            group: EventLoopGroup,
+            address: InetSocketAddress,
+            onUnmatched: (HttpClientConnection, HttpResponse) -> Unit = { _, _ -> },
+            onDone: (HttpClientConnection?) -> Unit,
+        ) {
             var connection: HttpClientConnection? = null
             Bootstrap().group(group).channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
                 .handler(object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         KeepAliveProbes().applyTo(channel)
-                        val opened = HttpClientConnection(channel)
+                        val opened = HttpClientConnection(channel, onUnmatched)
                         connection = opened
                         channel.pipeline().addLast(
                             HttpRequestEncoder(),
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
@@ -18,6 +18,8 @@
         .help("Calls by kind of route and outcome").labelNames("kind", "outcome").register(registry)
     private val refusals = Counter.builder().name("jasmineford_refusals_total")
         .help("Calls that were refused, by reason").labelNames("reason").register(registry)
+    private val unmatched = Counter.builder().name("jasmineford_unmatched_responses_total")
+        .help("Responses of endpoints that belong to no call in flight").register(registry)
     private val latency = Histogram.builder().name("jasmineford_call_seconds")
         .help("Time from a call's arrival to the end of its answer").labelNames("kind")
         .classicOnly().classicUpperBounds(*LATENCY_BOUNDS).register(registry)
@@ -34,6 +36,9 @@
     /** Records that a call was refused for [reason]. */
     fun refused(reason: String) = refusals.labelValues(reason).inc()
 
+    /** Records a response of an endpoint that belongs to no call in flight. */
+    fun unmatchedResponse() = unmatched.inc()
+
     /** Records that a call was sent to its first endpoint at time [after] its arrival. */
     fun placed(kind: RouteKind, after: Duration) =
         queueing.labelValues(kind.name).observe(after.toDouble(DurationUnit.SECONDS))
--- a/jasmineford-report/src/main/kotlin/io/jasmineford/report/log/CallCause.kt
+++ b/jasmineford-report/src/main/kotlin/io/jasmineford/report/log/CallCause.kt
@@ -119,5 +119,5 @@
 private const val FIRST_FAILURE = 500
 private const val PARTS = 3
 private val ENDS = setOf("call-refused", "call-failed", "call-answered", "call-streamed", "call-caller-gone")
-private val ATTEMPT_ENDS = setOf("call-not-sent", "call-not-executed", "call-broken")
+private val ATTEMPT_ENDS = setOf("call-not-sent", "call-not-executed", "call-endpoint-failed", "call-broken")
 private val HISTORY_EVENTS = setOf("history-standing", "group-changed", "history-connection-lost", "history-loaded")
