--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
@@ -18,6 +18,8 @@
  * @property signature present on every successful response of an endpoint.
  * @property resumedAttempt id of the attempt that brought the first event of a stream that the caller takes up again.
  * @property rateLimit calls per second that an endpoint takes from all daemons together, on its responses.
+ * @property leaving `1` on responses of endpoints that are leaving and take no calls from the daemon any more.
+ * @property endpointId id of the endpoint that responds, on responses that name it.
  * @property systemOnly headers that callers may not set; they are removed from their requests.
  */
 data class CallHeaderNames(
@@ -35,6 +37,8 @@
     val previousTurn: String,
     val resumedAttempt: String,
     val rateLimit: String,
+    val leaving: String,
+    val endpointId: String,
     val systemOnly: List<String>,
 )
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -47,7 +47,7 @@
         val queue = queues.getOrPut(service.name) { WaitQueue { it.scheduling } }
         val wait = expectedWait(service, queue.size)
         if (!chooser.isServable(call.placement)) {
-            call.onRefused(Duration.ZERO)
+            refuseUnservable(call)
             return
         }
         val available = call.scheduling.expiresAt - clock.now() - completionsOf(service).serviceTime
@@ -90,7 +90,7 @@
                 }
                 !chooser.isServable(call.placement) -> {
                     queue.remove(call)
-                    call.onRefused(Duration.ZERO)
+                    refuseUnservable(call)
                 }
                 // Calls behind one that has to go to a certain version may have other endpoints.
                 call.placement.version == null -> break
@@ -98,6 +98,9 @@
         }
     }
 
+    private fun refuseUnservable(call: WaitingCall) =
+        call.onRefused(if (call.placement.version == null) REPLACEMENT_RETRY_AFTER else Duration.ZERO)
+
     /** Expected wait of a call behind [ahead] others, by the rate of completions; zero while that is unknown. */
     private fun expectedWait(service: Service, ahead: Int): Duration {
         val perSecond = completionsOf(service).rate.perSecond(clock.now())
@@ -110,6 +113,9 @@
         /** Lower bound of the time an endpoint takes for any call. */
         val MIN_SERVICE_TIME = 5.milliseconds
 
+        /** Time in which an endpoint that takes the place of one that leaves may be registered. */
+        val REPLACEMENT_RETRY_AFTER = 200.milliseconds
+
         /** Longest retry time given to a caller. */
         val MAX_RETRY_AFTER = 2.seconds
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -95,14 +95,14 @@
  * Sends calls to endpoints over pooled connections.
  *
  * @param isUsable whether an endpoint may still get calls; checked again when its connection is open.
- * @param onHead gets the headers of every response to a request, and the time at which the request was sent.
+ * @param onHead gets status and headers of every response to a request, and the time at which the request was sent.
  * @param onUnmatched gets each response that belongs to no request.
  */
 class EndpointSender(
     private val group: EventLoopGroup,
     private val clock: MonotonicClock,
     private val names: CallHeaderNames,
-    private val onHead: (EndpointState, HttpHeaders, sentAt: Duration) -> Unit = { _, _, _ -> },
+    private val onHead: (EndpointState, HttpResponse, sentAt: Duration) -> Unit = { _, _, _ -> },
     private val onUnmatched: (UnmatchedResponse) -> Unit = {},
     private val isUsable: (EndpointState) -> Boolean,
 ) {
@@ -191,7 +191,7 @@
         override fun onHead(head: HttpResponse) {
             val status = head.status().code()
             val isSuccess = status in SUCCESS
-            onHead(attempt.state, head.headers(), sentAt)
+            onHead(attempt.state, head, sentAt)
             when {
                 status == MISDIRECTED || head.headers().contains(names.notExecuted) -> refusedStatus = status
                 // Garbage from a faulty endpoint may look like a success; only real successes carry the signature.
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -4,6 +4,7 @@
 import io.jasmineford.gateway.call.CallServices
 import io.jasmineford.gateway.call.Dispatcher
 import io.jasmineford.gateway.call.EndpointSender
+import io.jasmineford.gateway.call.LeavingReader
 import io.jasmineford.gateway.call.NamedRateReader
 import io.jasmineford.gateway.call.StreamVersions
 import io.jasmineford.gateway.call.TurnCoordinator
@@ -64,11 +65,16 @@
         clock = node.clock,
         onArrival = state.serviceDemand::recordCall,
     )
+    private val rateReader = NamedRateReader(names, node.log)
+    private val leavingReader = LeavingReader(names, node.log, state.directory::recordLeaving)
     private val sender = EndpointSender(
         group = node.group,
         clock = node.clock,
         names = names,
-        onHead = NamedRateReader(names, node.log)::read,
+        onHead = { endpoint, head, sentAt ->
+            leavingReader.read(endpoint, head)
+            rateReader.read(endpoint, head.headers(), sentAt)
+        },
         onUnmatched = ::recordUnmatched,
         isUsable = state.directory::isUsable,
     )
@@ -116,6 +122,9 @@
         metrics.gauge("jasmineford_limited_endpoints", "Endpoints that name the rate of calls that they take") {
             state.directory.all.count { it.namedRate.perSecond != null }.toDouble()
         }
+        metrics.gauge("jasmineford_leaving_endpoints", "Endpoints whose responses say that they are leaving") {
+            state.directory.all.count { it.isLeaving }.toDouble()
+        }
         metrics.gauge("jasmineford_store_contact_age_seconds", "Age of the newest proof of store contact") {
             view.contact.age().toDouble(DurationUnit.SECONDS)
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/Endpoint.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/Endpoint.kt
@@ -24,4 +24,14 @@
     val coldForMillis: Long,
     val startedAtMillis: Long = 0,
     val version: String = "",
-)
+) {
+    /**
+     * Whether [other] registers the same process. Ids and addresses are used again, so the time of the start decides;
+     * without it, the address does.
+     */
+    internal fun isSameProcessAs(other: Endpoint): Boolean {
+        val hasStartTimes = startedAtMillis > 0 && other.startedAtMillis > 0
+        val isSameStart = if (hasStartTimes) startedAtMillis == other.startedAtMillis else address == other.address
+        return id == other.id && isSameStart
+    }
+}
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -44,8 +44,11 @@
         return ranked.firstOrNull { tryTakeCall(it, request.service) }
     }
 
-    /** Whether any endpoint could run the call, at capacity or not. */
-    fun isServable(request: PlacementRequest): Boolean = request.version == null || usableFor(request).isNotEmpty()
+    /** Whether an endpoint could run the call, at capacity or not, or one may soon be registered that could. */
+    fun isServable(request: PlacementRequest): Boolean = when (request.version) {
+        null -> !directory.isAbandoned(request.service.name)
+        else -> usableFor(request).isNotEmpty()
+    }
 
     private fun usableFor(request: PlacementRequest): List<EndpointState> {
         val usable = directory.usable(request.service.name)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -26,6 +26,10 @@
     /** Rate that the endpoint names in its responses. */
     val namedRate = NamedRate(endpoint.id, clock)
 
+    /** Whether a response of the endpoint said that it is leaving. It gets no further calls, whatever is registered. */
+    var isLeaving: Boolean = false
+        internal set
+
     /** End of the back-off after failures; until then other endpoints are preferred. See [recordFailure]. */
     var backoffUntil: Duration = Duration.ZERO
         private set
@@ -110,13 +114,14 @@
     MIXED,
 }
 
-/** Registered endpoints by service, less those that are draining or in an evacuated availability zone. */
+/** Registered endpoints by service, less those that are draining, leaving or in an evacuated availability zone. */
 class EndpointDirectory(private val clock: MonotonicClock) {
     private val states = HashMap<String, EndpointState>()
     private var evacuated: Set<String> = emptySet()
     private var byService: Map<String, List<EndpointState>> = emptyMap()
     private val startedAt = clock.now()
     private val mixedAt = HashMap<String, Duration>()
+    private val leaving = LeavingEndpoints()
 
     /** All registered endpoints. */
     val all: Collection<EndpointState> get() = states.values
@@ -126,25 +131,24 @@
         val present = endpoints.associateBy { it.id }
         states.keys.retainAll(present.keys)
         present.values.forEach(::register)
-        byService.keys.filter(::hasSeveralVersions).forEach { mixedAt[it] = clock.now() }
+        byService.filterValues { it.hasSeveralVersions() }.keys.forEach { mixedAt[it] = clock.now() }
         byService = states.values.groupBy { it.endpoint.service }
     }
 
     /** Which software versions the endpoints of [service] have, those included that get no new calls. */
     fun versionMix(service: String): VersionMix = when {
-        hasSeveralVersions(service) -> VersionMix.MIXED
+        byService[service].orEmpty().hasSeveralVersions() -> VersionMix.MIXED
         clock.now() - (mixedAt[service] ?: startedAt) < STREAM_TIME -> VersionMix.RECENTLY_MIXED
         else -> VersionMix.SINGLE
     }
 
-    private fun hasSeveralVersions(service: String): Boolean =
-        byService[service].orEmpty().distinctBy { it.endpoint.version }.size > 1
-
     private fun register(endpoint: Endpoint) {
-        val known = states[endpoint.id]
+        val known = states[endpoint.id]?.takeIf {
+            it.endpoint.startedAtMillis == endpoint.startedAtMillis && it.endpoint.address == endpoint.address
+        }
         when {
-            known == null || known.endpoint.startedAtMillis != endpoint.startedAtMillis ||
-                known.endpoint.address != endpoint.address -> states[endpoint.id] = EndpointState(endpoint, clock)
+            known == null ->
+                states[endpoint.id] = EndpointState(endpoint, clock).also { it.isLeaving = endpoint in leaving }
             known.endpoint != endpoint -> {
                 known.endpoint = endpoint
                 known.coldUntil = clock.now() + endpoint.coldForMillis.milliseconds
@@ -152,6 +156,15 @@
         }
     }
 
+    /** Records that a response of [state] said that the endpoint is leaving; returns whether that was not known. */
+    fun recordLeaving(state: EndpointState): Boolean {
+        val endpoint = state.endpoint
+        // The registration may have lapsed and come back while the call was in flight.
+        val registered = states[endpoint.id]?.takeIf { it.endpoint.isSameProcessAs(endpoint) }
+        listOfNotNull(state, registered).forEach { it.isLeaving = true }
+        return leaving.add(endpoint)
+    }
+
     /** Applies [reports] of other daemons and returns the endpoints at which another rate is in force now. */
     fun applyRates(reports: List<RateReport>): List<EndpointState> = reports.mapNotNull { report ->
         states[report.endpoint]?.takeIf { it.namedRate.merge(report) }
@@ -171,14 +184,21 @@
 
     /** Endpoints of [service] that may get new calls. */
     fun usable(service: String): List<EndpointState> =
-        byService[service].orEmpty().filter { !it.endpoint.isDraining && it.endpoint.zone !in evacuated }
+        byService[service].orEmpty().filter(::isUsable)
+
+    /** Whether none of the registered endpoints of [service] may get new calls, because the last ones are leaving. */
+    fun isAbandoned(service: String): Boolean =
+        usable(service).isEmpty() && byService[service].orEmpty().any { it.isLeaving }
 
     /** Whether a call that was assigned to [state] may still be sent there. */
     fun isUsable(state: EndpointState): Boolean =
-        states[state.endpoint.id] === state && !state.endpoint.isDraining && state.endpoint.zone !in evacuated
+        states[state.endpoint.id] === state && !state.endpoint.isDraining && !state.isLeaving &&
+            state.endpoint.zone !in evacuated
 
     private companion object {
         /** Longer than a stream and its caller's attempts to take it up again last. */
         val STREAM_TIME = 6.seconds
     }
 }
+
+private fun List<EndpointState>.hasSeveralVersions(): Boolean = distinctBy { it.endpoint.version }.size > 1
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
@@ -48,6 +48,8 @@
     previousTurn = "Previous",
     resumedAttempt = "Resumes",
     rateLimit = "Rate-Limit",
+    leaving = "Leaving",
+    endpointId = "Endpoint",
     systemOnly = emptyList(),
 )
 
