--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallResponse.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallResponse.kt
@@ -3,6 +3,7 @@
 import io.jasmineford.gateway.http.CallerExchange
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaders
 import kotlin.time.Duration
 
 /**
@@ -23,20 +24,22 @@
     var isDone = false
         private set
 
-    /** Whether the head of a stream has been sent. */
-    var isStarted = false
+    /** Status of the stream whose head has been sent; null before. */
+    var startedStatus: Int? = null
         private set
 
-    /** Sends the complete response of an endpoint. */
-    fun sendComplete(
-        head: ResponseHead,
-        body: ByteBuf
-    ) = finish("answered") { exchange.answer(head.status, head.headers, body) }
+    /** Whether the head of a stream has been sent. From then on, the response is a stream that ends or is cut off. */
+    val isStarted: Boolean get() = startedStatus != null
+
+    /** Sends the complete response of an endpoint; a started stream, of which it can't be a part, is cut off. */
+    fun sendComplete(head: ResponseHead, body: ByteBuf) = finish("answered") {
+        respond(head.status, head.headers, body)
+    }
 
     /** Sends an event, preceded by the stream's head if it is the first one. */
     fun sendEvent(head: ResponseHead, event: StreamEvent) {
         if (!isStarted) exchange.startAnswer(head.status, head.headers)
-        isStarted = true
+        startedStatus = startedStatus ?: head.status
         exchange.sendPart(Unpooled.wrappedBuffer(event.bytes))
     }
 
@@ -46,12 +49,17 @@
     /** Refuses the call, which has not run and will not; it does not count against its account's rate limit. */
     fun refuse(status: Int, reason: String, retryAfter: Duration? = null) {
         if (isDone) return
+        if (isStarted) {
+            // A call with a started response has run.
+            fail(status, reason)
+            return
+        }
         val previous = call.attributes.previousTurn
         log("refused", "status" to status, "reason" to reason, "retry_after" to retryAfter, "previous" to previous)
         val headers = refusalHeaders(services.names, call.attributes.attemptId, retryAfter)
         services.metrics.refused(reason)
         call.account?.let { services.rateLimiter.refund(it) }
-        finish("refused") { exchange.answer(status, headers, Unpooled.EMPTY_BUFFER) }
+        finish("refused") { respond(status, headers, Unpooled.EMPTY_BUFFER) }
     }
 
     /** Reports that the call may have run; a started stream is cut off without its end. */
@@ -59,9 +67,7 @@
         if (isDone) return
         log("failed", "status" to status, "reason" to reason)
         val headers = refusalHeaders(services.names, call.attributes.attemptId, retryAfter = null)
-        finish("failed") {
-            if (isStarted) exchange.abort() else exchange.answer(status, headers, Unpooled.EMPTY_BUFFER)
-        }
+        finish("failed") { respond(status, headers, Unpooled.EMPTY_BUFFER) }
     }
 
     /** Ends the call after its caller has disconnected. */
@@ -80,11 +86,23 @@
 
     private fun age() = services.clock.now() - call.arrivedAt
 
+    private fun respond(status: Int, headers: HttpHeaders, body: ByteBuf) {
+        if (isStarted) {
+            body.release()
+            exchange.abort()
+        } else {
+            exchange.answer(status, headers, body)
+        }
+    }
+
     private fun finish(outcome: String, send: () -> Unit) {
         if (isDone) return
         isDone = true
         services.metrics.ended(call.route.kind, outcome, age())
-        onDone()
-        send()
+        try {
+            onDone()
+        } finally {
+            send()
+        }
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -192,7 +192,15 @@
             retryOrGiveUp("endpoints refuse")
         }
 
-        override fun head(head: ResponseHead) = responseBuffer.onHead(head)
+        override fun head(head: ResponseHead) {
+            val isOtherSuccess = head.isSuccess && response.isStarted && head.status != response.startedStatus
+            if (isOtherSuccess) {
+                attempt?.cancel()
+                broken("success ${head.status} after a stream of ${response.startedStatus}")
+            } else {
+                responseBuffer.onHead(head)
+            }
+        }
 
         override fun data(data: ByteBuf) {
             responseBuffer.onData(data)
@@ -252,6 +260,8 @@
             if (response.isDone) return
             if (responseBuffer.isStream) {
                 endStream(state.endpoint, connection)
+            } else if (response.isStarted) {
+                response.fail(BAD_GATEWAY, "endpoint ${state.endpoint.id} answered ${head.status} to a started stream")
             } else {
                 response.log(
                     "answered",
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -24,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 
 /** A caller's connection: reads whole requests and answers them one at a time, in the order of their arrival. */
 internal class CallerConnection(
@@ -146,25 +148,21 @@
 
     @Deprecated("Deprecated in the supertype")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        if (cause !is java.io.IOException) {
-            log.event(
-                "caller-connection-error",
-                "reason" to cause,
-                "at" to cause.stackTrace.firstOrNull()
-            )
-        }
-        context.close()
+        channel.closeAfter(cause, log)
     }
 
     private inner class Exchange(private val body: ByteBuf, private val isKeepAlive: Boolean) : CallerExchange {
+        private var isStarted = false
         private var isEnded = false
         private var willClose = false
         override val isOpen: Boolean get() = !isEnded && channel.isActive
         override var onDisconnect: () -> Unit = {}
 
         override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
-            if (!isOpen) {
+            if (!isOpen || isStarted) {
                 body.release()
+                // A caller can't tell another response from the rest of the started one.
+                if (isStarted) abort()
                 return
             }
             val response = DefaultFullHttpResponse(
@@ -176,27 +174,26 @@
             )
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
             setConnection(response.headers())
-            channel.writeAndFlush(response)
-            end()
+            end(response)
         }
 
         override fun startAnswer(status: Int, headers: HttpHeaders) {
             if (!isOpen) return
+            isStarted = true
             val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)
             response.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
             HttpUtil.setTransferEncodingChunked(response, true)
             setConnection(response.headers())
-            channel.write(response)
+            channel.write(response).closeOnFailure(log)
         }
 
         override fun sendPart(data: ByteBuf) {
-            if (isOpen) channel.writeAndFlush(DefaultHttpContent(data)) else data.release()
+            if (isOpen) channel.writeAndFlush(DefaultHttpContent(data)).closeOnFailure(log) else data.release()
         }
 
         override fun endAnswer() {
             if (!isOpen) return
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-            end()
+            end(LastHttpContent.EMPTY_LAST_CONTENT)
         }
 
         override fun abort() {
@@ -223,8 +220,11 @@
             current = null
         }
 
-        private fun end() {
+        /** Sends [last] as the end of the response and goes on with the next request. */
+        private fun end(last: HttpObject) {
+            // A failed write closes the connection at once, which would end the exchange once more.
             finish()
+            channel.writeAndFlush(last).closeOnFailure(log)
             if (willClose && waiting.isEmpty()) {
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
             } else {
@@ -241,3 +241,15 @@
         const val MAX_BODY_PARTS = 64
     }
 }
+
+/** Closes the connection when this write fails, as the caller would wait for the rest of the response. */
+private fun ChannelFuture.closeOnFailure(log: EventLog) {
+    addListener { if (!it.isSuccess) channel().closeAfter(it.cause(), log) }
+}
+
+private fun Channel.closeAfter(cause: Throwable, log: EventLog) {
+    if (cause !is IOException) {
+        log.event("caller-connection-error", "reason" to cause, "at" to cause.stackTrace.firstOrNull())
+    }
+    close()
+}
--- /dev/null
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerConnectionTest.kt
@@ -0,0 +1,103 @@
+package io.jasmineford.gateway.http
+
+import io.jasmineford.gateway.config.CallLimits
+import io.jasmineford.gateway.noOpLog
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOutboundHandlerAdapter
+import io.netty.channel.ChannelPromise
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+/** Responses over one connection. Guards against connections that stay open without the end of a response. */
+class CallerConnectionTest {
+    private val limits = CallLimits(MAX_BYTES, MAX_BYTES, headerTimeout = 60.seconds, idleTimeout = 60.seconds)
+    private lateinit var exchange: CallerExchange
+    private var disconnects = 0
+
+    @Test
+    fun `a response in parts ends with its last part`() {
+        val channel = connection()
+        exchange.startAnswer(OK, headers())
+        exchange.sendPart(bytes("one"))
+        exchange.endAnswer()
+        assertTrue(channel.sent().endsWith("3\r\none\r\n0\r\n\r\n"))
+        assertTrue(channel.isActive)
+    }
+
+    @Test
+    fun `a complete response to a request whose response has started cuts the connection`() {
+        val channel = connection()
+        exchange.startAnswer(OK, headers())
+        exchange.sendPart(bytes("one"))
+        exchange.answer(FAILURE, headers(), bytes("two"))
+        val sent = channel.sent()
+        assertEquals(1, sent.split("HTTP/1.1 ").size - 1, sent)
+        assertFalse(sent.endsWith("0\r\n\r\n"), sent)
+        assertFalse(channel.isActive)
+    }
+
+    @Test
+    fun `a response that can't be written cuts the connection`() {
+        val channel = connection()
+        channel.pipeline().addBefore("connection", "failing", FailingWrites())
+        exchange.answer(OK, headers(), bytes("one"))
+        channel.runPendingTasks()
+        assertFalse(channel.isActive)
+    }
+
+    @Test
+    fun `a head that can't be written cuts the connection and ends the call`() {
+        val channel = connection()
+        channel.pipeline().addBefore("connection", "failing", FailingWrites())
+        exchange.startAnswer(OK, headers())
+        exchange.sendPart(bytes("one"))
+        channel.runPendingTasks()
+        assertFalse(channel.isActive)
+        assertEquals(1, disconnects)
+    }
+
+    private fun connection(): EmbeddedChannel {
+        val channel = EmbeddedChannel(HttpRequestDecoder(), HttpResponseEncoder())
+        val connection = CallerConnection(channel, limits, isClosing = { false }, noOpLog) { _, opened ->
+            exchange = opened
+            opened.onDisconnect = { disconnects++ }
+        }
+        channel.pipeline().addLast("connection", connection)
+        channel.writeInbound(bytes("GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n"))
+        return channel
+    }
+
+    private fun EmbeddedChannel.sent(): String {
+        runPendingTasks()
+        return generateSequence { readOutbound<ByteBuf>() }.joinToString("") { part ->
+            part.toString(Charsets.ISO_8859_1).also { part.release() }
+        }
+    }
+
+    private fun bytes(text: String): ByteBuf = Unpooled.copiedBuffer(text, Charsets.ISO_8859_1)
+
+    private fun headers() = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+
+    private class FailingWrites : ChannelOutboundHandlerAdapter() {
+        override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+            check(message !is HttpResponse) { "the head can't be encoded" }
+            context.write(message, promise)
+        }
+    }
+
+    private companion object {
+        const val MAX_BYTES = 65_536
+        const val OK = 200
+        const val FAILURE = 500
+    }
+}
