--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
@@ -20,6 +20,7 @@
     UNKNOWN_KEY,
     OVER_ALLOTMENT,
     CRASHES_ENDPOINTS,
+    STOPPING,
 }
 
 /** Result of admission control for one call. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -15,11 +15,14 @@
  * the caller.
  *
  * Whether a call may be retried after it may have run depends on the kind of its route only.
+ *
+ * @param onDone called once, before the response is completed or after the caller has disconnected.
  */
 class ProxyCall(
     private val call: AdmittedCall,
     private val exchange: CallerExchange,
     private val services: CallServices,
+    private val onDone: () -> Unit = {},
 ) {
     private val route = call.route
     private val clock = services.clock
@@ -29,6 +32,7 @@
         waiting = null
         turn.settle()
         if (body !== call.request.body) body.release()
+        onDone()
     }
     private val tried = HashSet<String>()
     private val usedConnections = HashSet<HttpClientConnection>()
@@ -38,6 +42,7 @@
     private var waiting: WaitingCall? = null
     private var attempt: EndpointAttempt? = null
     private var body: ByteBuf = call.request.body
+    private var mayBeSent = true
 
     /** Starts the call; invoked once. */
     fun start() {
@@ -46,10 +51,30 @@
             attempt?.let(::cancelAttempt)
             response.endWithoutCaller()
         }
-        services.scheduler.after(call.expiresAt - clock.now(), ::expire)
+        services.scheduler.after(call.expiresAt - clock.now()) { end("deadline") }
         services.streamVersions.find(call, ::begin)
     }
 
+    /**
+     * Ends the call for [reason]; it is sent to no endpoint from now on. With [isUnsentOnly] a call that an endpoint
+     * runs, or whose turn is being stored, may still finish.
+     */
+    fun end(reason: String, isUnsentOnly: Boolean = false) {
+        mayBeSent = false
+        val current = attempt
+        val isUnsent = waiting != null || (current == null && runs == 0)
+        if (isUnsentOnly && !isUnsent) return
+        if (current != null) {
+            runs++
+            cancelAttempt(current)
+        }
+        when {
+            response.isDone -> Unit
+            runs > 0 || response.isStarted -> response.fail(GATEWAY_TIMEOUT, reason)
+            else -> response.refuse(UNAVAILABLE, "$reason-before-send", Duration.ZERO.takeIf { isUnsentOnly })
+        }
+    }
+
     private fun begin(continuation: StreamContinuation) {
         val resumed = call.attributes.resumedAttempt
         if (resumed != null) response.log("resumes", "began_as" to resumed, "continuation" to continuation)
@@ -80,6 +105,10 @@
     }
 
     private fun submit() {
+        if (!mayBeSent) {
+            giveUp("stopping", Duration.ZERO)
+            return
+        }
         val isTurn = route.kind == RouteKind.STREAM
         val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
@@ -143,19 +172,6 @@
         }
     }
 
-    private fun expire() {
-        val current = attempt
-        if (current != null) {
-            runs++
-            cancelAttempt(current)
-        }
-        when {
-            response.isDone -> Unit
-            runs > 0 || response.isStarted -> response.fail(GATEWAY_TIMEOUT, "deadline")
-            else -> response.refuse(UNAVAILABLE, "deadline-before-send")
-        }
-    }
-
     private fun cancelAttempt(current: EndpointAttempt) {
         attempt = null
         current.cancel()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
@@ -6,7 +6,6 @@
 import io.jasmineford.gateway.call.AdmittedCall
 import io.jasmineford.gateway.call.CallAttributes
 import io.jasmineford.gateway.call.CallServices
-import io.jasmineford.gateway.call.ProxyCall
 import io.jasmineford.gateway.call.RefusalReason
 import io.jasmineford.gateway.call.read
 import io.jasmineford.gateway.call.refusalHeaders
@@ -23,17 +22,24 @@
 import java.util.zip.CRC32
 import kotlin.time.Duration
 
-/** Handles callers' requests: runs the admission checks, refuses or starts the call. */
+/**
+ * Handles callers' requests: runs the admission checks, refuses or starts the call.
+ *
+ * @param openCalls starts the calls.
+ * @param accepts whether a call that ends by the given time may be started, as the daemon may be stopping.
+ */
 internal class CallerRequestHandler(
     private val services: CallServices,
-    private val view: StoreView,
+    private val storeState: () -> StoreState,
     bounds: PromisedBounds,
+    private val openCalls: OpenCalls,
+    private val accepts: (expiresAt: Duration) -> Boolean,
 ) : CallerHandler {
     private val names = services.names
     private val admission = AdmissionControl(
         rateLimiter = services.rateLimiter,
         activity = services.activity,
-        contactAge = view.contact::age,
+        contactAge = { storeState().contact.age() },
         maxContactAge = maxContactAge(bounds),
         isBlocked = services.poisonCalls::isBlocked,
     )
@@ -44,7 +50,7 @@
             refuse(request, exchange, AdmissionDecision.Refused(BAD_REQUEST, RefusalReason.BAD_HEADERS))
             return
         }
-        val config = view.config
+        val config = storeState().config
         val host = request.headers[HttpHeaderNames.HOST]
         val call = AdmissionRequest(host, request.path, attributes.accountKey, attributes.program)
         when (val decision = admission.decide(config, call) { fingerprint(request, it) }) {
@@ -59,7 +65,7 @@
         attributes: CallAttributes,
         decision: AdmissionDecision.Admitted,
     ) {
-        val service = view.config?.let { serviceOf(decision.route, attributes, it) }
+        val service = storeState().config?.let { serviceOf(decision.route, attributes, it) }
         if (service == null) {
             refuse(request, exchange, AdmissionDecision.Refused(UNAVAILABLE, RefusalReason.NO_SERVICE))
             return
@@ -74,7 +80,12 @@
             arrivedAt = services.clock.now(),
             arrivedAtMillis = services.wallMillis(),
         )
-        ProxyCall(call, exchange, services).start()
+        if (accepts(call.expiresAt)) {
+            openCalls.start(call, exchange)
+        } else {
+            call.account?.let { services.rateLimiter.refund(it) }
+            refuse(request, exchange, AdmissionDecision.Refused(UNAVAILABLE, RefusalReason.STOPPING, Duration.ZERO))
+        }
     }
 
     /**
@@ -100,14 +111,15 @@
 
     private fun refuse(request: CallerRequest, exchange: CallerExchange, refusal: AdmissionDecision.Refused) {
         val id = request.headers[names.attemptId]
+        val state = storeState()
         services.metrics.refused(refusal.reason.name)
         services.log.event(
             "call-refused",
             "id" to id,
             "status" to refusal.status,
             "reason" to refusal.reason,
-            "version" to view.config?.version,
-            "contact_ms" to view.contact.age().inWholeMilliseconds,
+            "version" to state.config?.version,
+            "contact_ms" to state.contact.age().inWholeMilliseconds,
             "account" to refusal.account?.let { "${it.name}/${it.ratePerSecond}/${it.burst}" },
             "path" to request.path,
             "program" to request.headers[names.program],
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -89,14 +89,22 @@
         latencyBaseline = RouteLatencyBaseline(),
         streamVersions = StreamVersions(StreamOrigins(quorum), state.directory::versionMix),
     )
+    private val openCalls = OpenCalls(services)
     private val server: CallerServer = CallerServer(
         group = node.group,
         limits = { view.config?.limits ?: DEFAULT_LIMITS },
         isClosing = { shutdown.hasBegun },
         log = node.log,
-        handler = CallerRequestHandler(services, view, node.settings.bounds),
+        handler = CallerRequestHandler(
+            services = services,
+            storeState = { StoreState(view.contact, view.config) },
+            bounds = node.settings.bounds,
+            openCalls = openCalls,
+            accepts = { shutdown.accepts(it) },
+        ),
     )
-    private val shutdown: GracefulShutdown = GracefulShutdown(node, server)
+    private val shutdown: GracefulShutdown =
+        GracefulShutdown(node.clock, node.scheduler, node.log, server, openCalls)
     private val contactProber = StoreContactProber(
         clock = node.clock,
         contact = view.contact,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
@@ -41,8 +41,13 @@
     private var current: Exchange? = null
     private val timer = ConnectionTimer(channel)
 
-    /** Whether a request is being read, is queued or is being answered. */
-    val isBusy: Boolean get() = current != null || head != null || waiting.isNotEmpty()
+    /** Whether a request is being read, is queued or is being answered, or an answer is not written in full. */
+    val isBusy: Boolean get() = hasRequest || hasUnwritten
+    private val hasRequest: Boolean get() = current != null || head != null || waiting.isNotEmpty()
+
+    // Closing the channel would drop what its socket has not taken yet.
+    private val hasUnwritten: Boolean
+        get() = channel.unsafe().outboundBuffer()?.let { it.totalPendingWriteBytes() > 0 } ?: false
 
     override fun channelActive(context: ChannelHandlerContext) = closeWhenIdle()
 
@@ -87,12 +92,9 @@
             return
         }
         if (part.isReadable) body?.addComponent(true, part.retain())
-        if (content is LastHttpContent) complete()
-    }
-
-    private fun complete() {
+        val request = head
+        if (content !is LastHttpContent || request == null) return
         timer.cancel()
-        val request = head ?: return
         val fullBody = body ?: Unpooled.EMPTY_BUFFER
         head = null
         body = null
@@ -132,7 +134,12 @@
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
-    private fun closeWhenIdle() = timer.arm(limits.idleTimeout) { if (!isBusy) channel.close() }
+    /** Refuses the request that is being read, unless an earlier one has no complete answer. */
+    fun refuseUnread() {
+        if (head != null && current == null) reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    }
+
+    private fun closeWhenIdle() = timer.arm(limits.idleTimeout) { if (!hasRequest) channel.close() }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer.cancel()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
@@ -38,6 +38,9 @@
     /** Number of connections with a request that has no complete answer. */
     val openExchanges: Int get() = connections.keys.count { it.isBusy }
 
+    /** Bound address; null before [open]. */
+    val address: InetSocketAddress? get() = listener?.localAddress() as InetSocketAddress?
+
     /** Binds [address]; throws [java.net.BindException] when it is in use. */
     fun open(address: InetSocketAddress) {
         listener = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
@@ -58,6 +61,9 @@
         connections.filterKeys { !it.isBusy }.values.forEach { it.close() }
     }
 
+    /** Refuses the requests that have been read in part only, and closes their connections. */
+    fun refuseUnread() = connections.keys.toList().forEach { it.refuseUnread() }
+
     private fun accept(channel: SocketChannel) {
         KeepAliveProbes(idleSeconds = CALLER_PROBE_IDLE_SECONDS).applyTo(channel)
         val current = limits()
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.call
 
+import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.EndpointDirectory
@@ -24,6 +25,9 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
 
+/** Clock of a test and the actions that it runs. */
+internal class TestTime(val clock: MonotonicClock, val scheduler: Scheduler)
+
 /** Services of a daemon that runs on [loop] and sends calls to the endpoints of [directory]. */
 internal fun callServices(
     group: EventLoopGroup,
@@ -32,10 +36,22 @@
     quorum: HistoryQuorum = HistoryQuorum({ null }, { _, _, _, onReply -> onReply(null) }, { 0 }),
     zone: String = "a",
 ): CallServices {
-    val clock = systemMonotonicClock()
     val scheduler = Scheduler { delay, action ->
         loop.schedule(action, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
+    return callServices(group, TestTime(systemMonotonicClock(), scheduler), directory, quorum, zone)
+}
+
+/** Services of a daemon that sends calls to the endpoints of [directory]. */
+internal fun callServices(
+    group: EventLoopGroup,
+    time: TestTime,
+    directory: EndpointDirectory,
+    quorum: HistoryQuorum = HistoryQuorum({ null }, { _, _, _, onReply -> onReply(null) }, { 0 }),
+    zone: String = "a",
+): CallServices {
+    val clock = time.clock
+    val scheduler = time.scheduler
     val chooser = EndpointChooser(directory, zone, clock) { RatePart(share = 1.0, rank = 0) }
     return CallServices(
         clock = clock,
--- /dev/null
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerServerTest.kt
@@ -0,0 +1,63 @@
+package io.jasmineford.gateway.http
+
+import io.jasmineford.gateway.config.CallLimits
+import io.jasmineford.gateway.noOpLog
+import io.netty.buffer.Unpooled
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.seconds
+
+class CallerServerTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val loop = group.next()
+    private val answered = CompletableFuture<Unit>()
+    private val server = CallerServer(group, { LIMITS }, { false }, noOpLog) { _, exchange ->
+        val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+        exchange.answer(OK, headers, Unpooled.buffer(LARGE_BYTES).writeZero(LARGE_BYTES))
+        answered.complete(Unit)
+    }
+
+    @AfterTest
+    fun stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+
+    /** Guards against a planned stop that cuts off answers which their callers have not read in full. */
+    @Test
+    fun `an answer that its caller reads slowly is not cut off with the idle connections`() {
+        server.open(InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+        Socket().use { socket ->
+            socket.receiveBufferSize = RECEIVE_BUFFER_BYTES
+            socket.soTimeout = TimeUnit.SECONDS.toMillis(WAIT_SECONDS).toInt()
+            socket.connect(server.address)
+            socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".toByteArray())
+            answered.get(WAIT_SECONDS, TimeUnit.SECONDS)
+            loop.submit { server.closeIdle() }.get()
+            val buffer = ByteArray(BUFFER_BYTES)
+            val sizes = generateSequence { socket.getInputStream().read(buffer) }.takeWhile { it >= 0 }
+            val total = sizes.runningReduce(Int::plus).firstOrNull { it >= LARGE_BYTES }
+            assertTrue(total != null, "the answer was cut off")
+            loop.submit { server.closeIdle() }.get()
+            assertEquals(-1, generateSequence { socket.getInputStream().read(buffer) }.first { it < 0 })
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val LARGE_BYTES = 16 * 1024 * 1024
+        const val RECEIVE_BUFFER_BYTES = 4096
+        const val BUFFER_BYTES = 65_536
+        const val WAIT_SECONDS = 20L
+        val LIMITS = CallLimits(8192, 65_536, 60.seconds, 60.seconds)
+    }
+}
