--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
+import io.jasmineford.gateway.http.MemoryBudget
 import io.jasmineford.gateway.limit.AccountRateLimiter
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.log.EventLog
@@ -24,4 +25,5 @@
     val metrics: CallMetrics,
     val latencyBaseline: RouteLatencyBaseline,
     val streamVersions: StreamVersions,
+    val memory: MemoryBudget,
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -62,6 +62,12 @@
     /** The connection closed or the response was invalid; the call may have run. */
     fun broken(reason: String)
 
+    /** Tells that [bytes] of the response are held back before they reach this handler. */
+    fun heldBack(bytes: Int) = Unit
+
+    /** The connection was closed because the response takes too much memory; the call may have run. */
+    fun overflowed(reason: String) = broken(reason)
+
     /** This daemon gave up the attempt for a reason that is not the endpoint's; the call may have run. */
     fun abandoned(reason: String)
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -30,6 +30,7 @@
     private val response = CallResponse(call, exchange, services) {
         waiting?.let { services.dispatcher.cancel(it) }
         waiting = null
+        memory.hold(0)
         turn.settle()
         if (body !== call.request.body) body.release()
         onDone()
@@ -43,6 +44,12 @@
     private var attempt: EndpointAttempt? = null
     private var body: ByteBuf = call.request.body
     private var mayBeSent = true
+    private val memory = services.memory.holder {
+        attempt?.let {
+            it.cancel()
+            it.handler.overflowed("responses of all calls hold too much memory")
+        }
+    }
 
     /** Starts the call; invoked once. */
     fun start() {
@@ -174,6 +181,7 @@
 
     private fun cancelAttempt(current: EndpointAttempt) {
         attempt = null
+        memory.hold(0)
         current.cancel()
         current.state.inFlight--
         services.dispatcher.assignWaiting()
@@ -212,12 +220,19 @@
 
         override fun data(data: ByteBuf) {
             responseBuffer.onData(data)
-            if (responseBuffer.heldBytes > MAX_HELD_BYTES) {
+            // The call ends when its caller is cut off while an event is passed on.
+            if (attempt == null) return
+            val heldBytes = responseBuffer.heldBytes + turn.outputBytes
+            if (heldBytes > MAX_HELD_BYTES) {
                 attempt?.cancel()
                 broken("response holds more than $MAX_HELD_BYTES bytes")
+            } else {
+                memory.hold(heldBytes.toLong())
             }
         }
 
+        override fun heldBack(bytes: Int) = memory.hold(bytes.toLong())
+
         override fun end(took: Duration) {
             val head = responseBuffer.head
             when {
@@ -282,6 +297,7 @@
 
         private fun attemptEnded(wasRun: Boolean) {
             attempt = null
+            memory.hold(0)
             state.inFlight--
             if (wasRun) runs++
             services.dispatcher.assignWaiting()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/RecordedAttempt.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/RecordedAttempt.kt
@@ -43,10 +43,19 @@
         held += data.copy()
         if (heldBytes > MAX_HELD_BYTES) {
             abort()
-            broken("response holds more than $MAX_HELD_BYTES bytes")
+            overflowed("response holds more than $MAX_HELD_BYTES bytes")
+        } else {
+            handler.heldBack(heldBytes)
         }
     }
 
+    override fun overflowed(reason: String) {
+        held.forEach { it.release() }
+        held.clear()
+        handler.heldBack(0)
+        afterData { handler.overflowed(reason) }
+    }
+
     override fun end(took: Duration) = afterData { handler.end(took) }
 
     override fun broken(reason: String) = afterData { handler.broken(reason) }
@@ -61,11 +70,12 @@
         isRecording = false
         val isPassedOn = isStored && isCurrent()
         if (isPassedOn) handler.head(head)
-        held.forEach { data ->
+        val parts = held.toList()
+        held.clear()
+        parts.forEach { data ->
             if (isPassedOn && isCurrent()) handler.data(data)
             data.release()
         }
-        held.clear()
         when {
             !isCurrent() -> Unit
             isStored -> end()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
@@ -34,6 +34,9 @@
     var lastEventId: String? = null
         private set
 
+    /** Size of the output that is kept to be stored. */
+    val outputBytes: Int get() = output.size()
+
     /** Whether [begin] has to succeed before the call is sent. */
     val needsBegin: Boolean get() = tokens != null || previous != null
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -13,6 +13,7 @@
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.http.CallerServer
+import io.jasmineford.gateway.http.MemoryBudget
 import io.jasmineford.gateway.log.endpointRate
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
@@ -73,6 +74,7 @@
         isUsable = state.directory::isUsable,
     )
     private val quorum = HistoryClients(node) { membership }.quorum
+    private val memory = MemoryBudget(MAX_RESPONSE_BYTES)
     private val services = CallServices(
         clock = node.clock,
         wallMillis = node.wallMillis,
@@ -88,6 +90,7 @@
         metrics = metrics,
         latencyBaseline = RouteLatencyBaseline(),
         streamVersions = StreamVersions(StreamOrigins(quorum), state.directory::versionMix),
+        memory = memory,
     )
     private val openCalls = OpenCalls(services)
     private val server: CallerServer = CallerServer(
@@ -95,6 +98,7 @@
         limits = { view.config?.limits ?: DEFAULT_LIMITS },
         isClosing = { shutdown.hasBegun },
         log = node.log,
+        memory = memory,
         handler = CallerRequestHandler(
             services = services,
             storeState = { StoreState(view.contact, view.config) },
@@ -218,6 +222,12 @@
             idleTimeout = 15.seconds,
         )
 
+        /**
+         * Bytes of responses that are held at a time. Copies of them take up to three times as much, and the process
+         * has some 90 MB.
+         */
+        const val MAX_RESPONSE_BYTES = 12L * 1024 * 1024
+
         /** With two addresses in a zone, callers still have one when the other fails. */
         const val MIN_ZONE_ADDRESSES = 2
         val TICK_PERIOD = 50.milliseconds
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
@@ -24,12 +24,14 @@
  *
  * @param limits limits on requests; read once for each new connection.
  * @param isClosing whether answers carry `Connection: close`, so that callers move to other daemons.
+ * @param memory budget for answers that callers have not read yet.
  */
 class CallerServer(
     private val group: EventLoopGroup,
     private val limits: () -> CallLimits,
     private val isClosing: () -> Boolean,
     private val log: EventLog,
+    private val memory: MemoryBudget = MemoryBudget(Long.MAX_VALUE),
     private val handler: CallerHandler,
 ) {
     private val connections = HashMap<CallerConnection, Channel>()
@@ -71,6 +73,7 @@
         connections[connection] = channel
         channel.closeFuture().addListener { connections.remove(connection) }
         channel.pipeline().addLast(
+            OutboundBytes(channel, memory, log),
             HttpRequestDecoder(current.maxHeaderBytes, current.maxHeaderBytes, MAX_CHUNK_BYTES),
             HttpResponseEncoder(),
             connection,
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
@@ -8,6 +8,7 @@
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.headerNames
 import io.jasmineford.gateway.http.CallerExchange
+import io.jasmineford.gateway.http.MemoryBudget
 import io.jasmineford.gateway.limit.AccountRateLimiter
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.limit.RateLimitTolerance
@@ -68,6 +69,7 @@
         metrics = CallMetrics(),
         latencyBaseline = RouteLatencyBaseline(),
         streamVersions = StreamVersions(StreamOrigins(quorum), directory::versionMix),
+        memory = MemoryBudget(Long.MAX_VALUE),
     )
 }
 
