--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
@@ -1,64 +1,139 @@
 package io.jasmineford.gateway.call
 
 import io.jasmineford.core.time.MonotonicClock
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * A crash as told to the other daemons.
+ *
+ * @property endpoint id of the endpoint.
+ * @property ageMillis time since the crash.
+ * @property calls fingerprints of calls that were in work there.
+ */
+@Serializable
+data class CrashReport(
+    @SerialName("e") val endpoint: String,
+    @SerialName("a") val ageMillis: Long,
+    @SerialName("c") val calls: List<String>,
+)
+
 /**
  * Detects calls whose content crashes endpoints, and protects the endpoints from them.
  *
- * Counts calls with the same fingerprint whose endpoint closed the connection without a response. After
- * [BLOCKING_CRASHES] in a row, calls with that fingerprint are refused by every daemon that has the count from
- * heartbeats.
+ * A crash is one endpoint that closed connections without a response at one moment. It counts once for each content
+ * that was in work there, however many calls with that content broke and however many daemons report them. After
+ * [BLOCKING_CRASHES] without a response between them, calls with that content are refused by every daemon that knows
+ * these crashes from heartbeats.
+ *
+ * A crash with several contents in work is blamed on those among them that were in work in an earlier one; on all of
+ * them if there is none.
  */
 class PoisonCallDetector(private val clock: MonotonicClock) {
-    private class CrashCount(var count: Int, var at: Duration)
+    private class Crash(val endpoint: String, val at: Duration) {
+        val calls = LinkedHashSet<String>()
+    }
 
-    private val crashes = HashMap<String, CrashCount>()
+    private class CountOfPeer(val count: Int, val at: Duration)
+
+    /** Crashes in the order of their times. */
+    private val crashes = ArrayList<Crash>()
+    private val respondedAt = HashMap<String, Duration>()
+    private val countsOfPeers = HashMap<String, CountOfPeer>()
 
     /** Whether calls with [fingerprint] are to be refused. */
-    fun isBlocked(fingerprint: String): Boolean = (crashes[fingerprint]?.count ?: 0) >= BLOCKING_CRASHES
+    fun isBlocked(fingerprint: String): Boolean =
+        count(fingerprint) >= BLOCKING_CRASHES ||
+            (countsOfPeers[fingerprint]?.count ?: 0) >= BLOCKING_CRASHES
 
-    /** Counts a call that ended without a response. */
-    fun recordCrash(fingerprint: String) {
+    /** Records a call that ended without a response from the endpoint with id [endpoint]. */
+    fun recordCrash(fingerprint: String, endpoint: String) {
         removeExpired()
-        val crash = crashes.getOrPut(fingerprint) { CrashCount(0, clock.now()) }
-        crash.count++
-        crash.at = clock.now()
+        crashOf(endpoint, clock.now()).calls += fingerprint
     }
 
-    /** Clears the count of [fingerprint] after a response. */
+    /** Clears [fingerprint] of the crashes so far, after a response. */
     fun recordResponse(fingerprint: String) {
-        if (crashes.isNotEmpty()) crashes.remove(fingerprint)
+        if (crashes.any { fingerprint in it.calls }) respondedAt[fingerprint] = clock.now()
+        crashes.forEach { it.calls -= fingerprint }
+        crashes.removeIf { it.calls.isEmpty() }
+        countsOfPeers.remove(fingerprint)
     }
 
-    /** Merges the counts that a peer reports: the higher count applies. */
-    fun mergeCounts(counts: Map<String, Int>) = counts.forEach { (fingerprint, count) ->
-        val crash = crashes.getOrPut(fingerprint) { CrashCount(0, clock.now()) }
-        if (count > crash.count) {
-            crash.count = count
-            crash.at = clock.now()
+    /**
+     * Merges what a peer reports. Peers of the release before report only [counts], of which the highest one applies;
+     * they are not passed on.
+     */
+    fun merge(reports: List<CrashReport>, counts: Map<String, Int>) {
+        if (reports.isEmpty()) {
+            counts.forEach { (fingerprint, count) ->
+                if (count > (countsOfPeers[fingerprint]?.count ?: 0)) {
+                    countsOfPeers[fingerprint] = CountOfPeer(count, clock.now())
+                }
+            }
+        }
+        reports.forEach { report ->
+            val at = clock.now() - report.ageMillis.milliseconds
+            val calls = report.calls.filter { at > (respondedAt[it] ?: -Duration.INFINITE) }
+            if (calls.isNotEmpty()) crashOf(report.endpoint, at).calls += calls
         }
     }
 
-    /** Counts to report to the peers. */
-    fun counts(): Map<String, Int> {
+    /** Crashes to report to the peers. */
+    fun reports(): List<CrashReport> {
+        val reported = reportedCalls()
+        return crashes.map { crash ->
+            val age = clock.now() - crash.at
+            CrashReport(crash.endpoint, age.inWholeMilliseconds, crash.calls.filter { it in reported })
+        }.filter { it.calls.isNotEmpty() }
+    }
+
+    /** Number of crashes by fingerprint, for peers of the release before. */
+    fun counts(): Map<String, Int> = reportedCalls().associateWith(::count)
+
+    private fun reportedCalls(): Set<String> {
         removeExpired()
-        return crashes.entries.take(MAX_REPORTED).associate { it.key to it.value.count }
+        return crashes.flatMap { it.calls }.distinct().sortedByDescending(::count).take(MAX_REPORTED).toSet()
     }
 
+    private fun count(fingerprint: String): Int {
+        val own = crashes.filter { fingerprint in it.calls }
+        val first = own.firstOrNull() ?: return 0
+        val hasOtherSuspect = first.calls.any { call -> crashes.first { call in it.calls } !== first }
+        return if (hasOtherSuspect) own.size - 1 else own.size
+    }
+
+    private fun crashOf(endpoint: String, at: Duration): Crash =
+        crashes.firstOrNull { it.endpoint == endpoint && (it.at - at).absoluteValue < SAME_CRASH_TIME }
+            ?: Crash(endpoint, at).also {
+                crashes.add(it)
+                crashes.sortBy(Crash::at)
+            }
+
     private fun removeExpired() {
-        crashes.values.removeIf { clock.now() - it.at > RETENTION }
+        val oldest = clock.now() - RETENTION
+        countsOfPeers.values.removeIf { it.at < oldest }
+        respondedAt.values.removeIf { it < oldest - RETENTION }
+        val recent = crashes.filter { it.at >= oldest }.flatMap { it.calls }.toSet()
+        crashes.removeIf { crash -> crash.at < oldest && crash.calls.none { it in recent } }
     }
 
     private companion object {
         /** A single broken connection may be chance; three in a row with the same content are not. */
         const val BLOCKING_CRASHES = 3
 
-        /** Time after which a count is dropped; callers that retry such a call do so within a minute. */
+        /**
+         * Time within which the connections of one crash break, at all daemons; an endpoint is back after some seconds.
+         */
+        val SAME_CRASH_TIME = 1.seconds
+
+        /** Time after a call's latest crash at which it is forgotten; callers that retry it do so within a minute. */
         val RETENTION = 60.seconds
 
-        /** Maximum number of counts in one heartbeat. */
+        /** Maximum number of fingerprints in one heartbeat. */
         const val MAX_REPORTED = 16
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -262,7 +262,7 @@
 
         override fun broken(reason: String) {
             state.recordFailure()
-            if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint)
+            if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint, state.endpoint.id)
             abandoned(reason)
         }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -93,6 +93,7 @@
             demand = demandBehind(forwards),
             uses = rateLimiter.usage(isComplete) { source -> forwards(source.daemon, source.isRelay) },
             crashes = poisonCalls.counts(),
+            crashReports = poisonCalls.reports(),
             programs = activity.changesSince(told) { name -> isForwardedProgram(name, forwards) },
             isUsageComplete = isComplete,
             rates = directory.recentRates(
@@ -119,7 +120,7 @@
             rateLimiter.applyPeerUsage(report) { config?.accounts?.get(it) }
             activity.applyPeerCounts(heartbeat.from, heartbeat.programs)
         }
-        poisonCalls.mergeCounts(heartbeat.crashes)
+        poisonCalls.merge(heartbeat.crashReports, heartbeat.crashes)
         // A peer with a newer configuration version confirms that version, not the one in force here.
         val confirmation = peer.storeContact()?.takeIf { it.configVersion <= (config?.version ?: -1) }
         if (confirmation != null) contact.confirm(confirmation.confirmedAt)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.peer
 
+import io.jasmineford.gateway.call.CrashReport
 import io.jasmineford.gateway.endpoint.RateReport
 import io.jasmineford.gateway.limit.AccountUsage
 import kotlinx.serialization.Serializable
@@ -47,7 +48,7 @@
  * @property configVersion version of the configuration in force, -1 before the first one.
  * @property inFlight number of calls in flight by endpoint id.
  * @property uses usage of the rate limits by client account.
- * @property crashes number of calls that broke an endpoint, by request fingerprint.
+ * @property crashes number of crashes of endpoints by request fingerprint, for daemons that don't read [crashReports].
  * @property programs number of calls by program, for the programs whose number changed since the last message.
  * @property relay name of the entry daemon that relays for the sender, its own name if it is a relay itself; null for
  * daemons that exchange with every other daemon.
@@ -60,6 +61,7 @@
  * @property advertised short ids of the daemons that callers should use, told to daemons that are not relays.
  * @property demand calls per second that arrive for each service with endpoints whose calls are limited.
  * @property rates recent observations of the rates that endpoints name.
+ * @property crashReports recent crashes of endpoints with the calls that were in work there.
  */
 @Serializable
 data class Heartbeat(
@@ -85,6 +87,7 @@
     val advertised: List<Int> = emptyList(),
     val demand: Map<String, Double> = emptyMap(),
     val rates: List<RateReport> = emptyList(),
+    val crashReports: List<CrashReport> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.peer
 
+import io.jasmineford.gateway.call.CrashReport
 import io.jasmineford.gateway.limit.AccountUsage
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -41,6 +42,15 @@
         assertEquals(heartbeat, peerCbor.decodeFromByteArray<Heartbeat>(HexFormat.of().parseHex(hex)))
     }
 
+    @Test
+    fun `the bytes of the optional fields of a heartbeat are fixed`() {
+        val whole = Heartbeat("e", 1, 2, crashReports = listOf(CrashReport("i-1", 30, listOf("aabb"))))
+        val hex = "bf6466726f6d61656b696e6361726e6174696f6e016873657175656e6365026c63726173685265706f7274739fbf616563" +
+            "692d316161181e61639f6461616262ffffffff"
+        assertEquals(hex, HexFormat.of().formatHex(peerCbor.encodeToByteArray(whole)))
+        assertEquals(whole, peerCbor.decodeFromByteArray<Heartbeat>(HexFormat.of().parseHex(hex)))
+    }
+
     @Test
     fun `the bytes of a member are fixed`() {
         val hex = "bf646e616d6568656467652d612d316b696e6361726e6174696f6e1b0000018bcfe56800647a6f6e6561616672656769" +
