--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreView.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreView.kt
@@ -67,7 +67,7 @@
         onChange: (Collection<StoredObject>) -> Unit,
     ) = ObjectMirror(
         kind = kind,
-        context = context,
+        context = context.copy(wasInContact = { contact.age() < MAX_READY_CONTACT_AGE }),
         watchWait = Membership.WATCH_WAIT,
         removalGrace = removalGrace,
         onContact = onContact,
@@ -118,7 +118,10 @@
          */
         val ENDPOINT_BATCH_TIME = 300.milliseconds
 
-        /** Age of the store contact from which this daemon is not ready, so that callers use others. */
+        /**
+         * Age of the store contact from which this daemon is not ready, so that callers use others. A store that has
+         * not answered for that long may have been down.
+         */
         val MAX_READY_CONTACT_AGE = 2500.milliseconds
 
         /** Duration of failing store calls from which this daemon is not ready; shorter failures are transient. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectMirror.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectMirror.kt
@@ -14,6 +14,7 @@
  * Collaborators of the mirrors of a daemon.
  *
  * @property watchPause time between a change and the next watch, in which further changes gather.
+ * @property wasInContact whether the store is known to have answered recently, to this daemon or to a peer.
  */
 data class MirrorContext(
     val client: ObjectStoreClient,
@@ -21,6 +22,7 @@
     val scheduler: Scheduler,
     val log: EventLog,
     val watchPause: () -> Duration = { Duration.ZERO },
+    val wasInContact: () -> Boolean = { true },
 )
 
 /**
@@ -28,6 +30,7 @@
  *
  * Neither a stale list nor a repeated event reverts the cache. After an outage, objects that are missing from the list
  * are kept for [removalGrace], because their registrations may have expired during the outage and be renewed shortly.
+ * The store may cut off a waiting watch, which alone is no outage.
  *
  * @param watchWait longest time that one watch request stays open.
  * @param onContact called with the start time of each answered read. Watches are not reported: they may be served from
@@ -46,6 +49,9 @@
     private val outage = StoreOutage(kind, context.clock, context.log)
     private var revision = -1L
 
+    /** Whether the store may have been away since the latest success. */
+    private var wasAway = false
+
     /** Whether a complete list was applied. */
     var isLoaded = false
         private set
@@ -67,6 +73,7 @@
                 onContact(startedAt)
                 applyChanges(reply.value.objects)
             } else {
+                wasAway = true
                 outage.recordFailure(reply)
             }
         }
@@ -82,14 +89,15 @@
                 val asOf = firstRevision ?: page.revision
                 if (page.after != null) list(page.after, seen, asOf) else applyList(seen, asOf)
             } else {
+                wasAway = true
                 retry(reply)
             }
         }
     }
 
     private fun applyList(seen: Map<String, StoredObject>, asOf: Long) {
-        val wasOutage = outage.isOngoing
-        outage.recordSuccess()
+        val wasOutage = wasAway
+        recordSuccess()
         seen.values.forEach { cache.apply(it) }
         val missing = cache.missingFrom(seen.keys, asOf)
         if (wasOutage && missing.isNotEmpty() && removalGrace > Duration.ZERO) {
@@ -115,7 +123,10 @@
                     context.log.event("mirror-history-gone", "kind" to kind, "revision" to revision)
                     start()
                 }
-                else -> retry(reply)
+                else -> {
+                    wasAway = wasAway || reply !is StoreReply.Unknown || !context.wasInContact()
+                    retry(reply)
+                }
             }
         }
     }
@@ -126,10 +137,15 @@
     }
 
     private fun applyChanges(objects: List<StoredObject>) {
-        outage.recordSuccess()
+        recordSuccess()
         if (objects.map { cache.apply(it) }.any { it }) onChange(cache.all)
     }
 
+    private fun recordSuccess() {
+        wasAway = false
+        outage.recordSuccess()
+    }
+
     private fun retry(reply: StoreReply<*>) {
         outage.recordFailure(reply)
         context.scheduler.after(outage.nextBackoff(), ::start)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/StoreOutage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/StoreOutage.kt
@@ -17,9 +17,6 @@
     private var failingSince: Duration? = null
     private var failures = 0
 
-    /** Whether the latest call failed. */
-    val isOngoing: Boolean get() = failingSince != null
-
     /** Time since the first failure after the latest success; null while calls succeed. */
     fun duration(): Duration? = failingSince?.let { clock.now() - it }
 
