--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Membership.kt
@@ -29,7 +29,7 @@
  * What a daemon tells to whom in heartbeats.
  *
  * @property targets peers to which a heartbeat is due.
- * @property content this daemon's state for a peer; sequence and echo are filled in by [Membership].
+ * @property content this daemon's state for a peer; sequence, echo and address are filled in by [Membership].
  * @property onHeartbeat called with the sender of each heartbeat that was applied.
  * @property onMembers called when the registrations of the other daemons have changed.
  */
@@ -79,8 +79,7 @@
     /** Sends a heartbeat to [peer]. */
     fun sendHeartbeat(peer: Peer) {
         policy.content(peer).parts().forEach { part ->
-            val next = part.copy(sequence = peer.nextSequence(node.clock.now()), echo = peer.highestReceived)
-            socket.send(peer.member, next)
+            socket.send(peer.member, peer.addressed(part, node.clock.now()))
         }
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
@@ -24,9 +24,10 @@
     var lastHeartbeatAt: Duration = -Duration.INFINITE
         private set
 
-    /** Highest sequence number received from the peer; -1 before the first heartbeat. */
+    /** Highest sequence number received from the peer; -1 before the first heartbeat for this process. */
     var highestReceived = -1L
         private set
+    private var highestForFormer = -1L
     private val sentAt = LinkedHashMap<Long, Duration>()
     private var nextSequence = 0L
 
@@ -64,17 +65,47 @@
         isRelayedReady = isReady
     }
 
-    /** Applies a heartbeat that arrived at [now]; returns false when it is a duplicate or arrived out of order. */
-    fun applyHeartbeat(next: Heartbeat, now: Duration): Boolean {
+    /**
+     * Applies a heartbeat that arrived at [now] at the incarnation [receiver] of this daemon; returns false when it is
+     * a duplicate or arrived out of order.
+     */
+    fun applyHeartbeat(next: Heartbeat, now: Duration, receiver: Long): Boolean {
+        val isForFormer = next.to >= 0 && next.to != receiver
+        return if (isForFormer) applyForFormer(next, now) else applyForThis(next, now)
+    }
+
+    private fun applyForThis(next: Heartbeat, now: Duration): Boolean {
         val isNewer = next.sequence > highestReceived
         if (isNewer) {
             highestReceived = next.sequence
-            lastHeartbeatAt = now
-            heartbeat = next
+            apply(next, now)
+        }
+        return isNewer
+    }
+
+    /**
+     * Applies a heartbeat for the former process of this daemon: the peer lives, but has not read this daemon's new
+     * registration. Its sequence numbers and its echo refer to the former process, and it is ignored once the peer has
+     * sent heartbeats to this one.
+     */
+    private fun applyForFormer(next: Heartbeat, now: Duration): Boolean {
+        val isNewer = highestReceived < 0 && next.sequence > highestForFormer
+        if (isNewer) {
+            highestForFormer = next.sequence
+            apply(next.copy(echo = -1), now)
         }
         return isNewer
     }
 
+    private fun apply(next: Heartbeat, now: Duration) {
+        lastHeartbeatAt = now
+        heartbeat = next
+    }
+
+    /** [heartbeat] as sent to the peer at [now]. */
+    fun addressed(heartbeat: Heartbeat, now: Duration): Heartbeat =
+        heartbeat.copy(sequence = nextSequence(now), echo = highestReceived, to = member.incarnation)
+
     /** Allocates the sequence number of a message that is sent to the peer at [now]. */
     fun nextSequence(now: Duration): Long {
         val sequence = nextSequence++
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -61,6 +61,7 @@
  * @property advertised short ids of the daemons that callers should use, told to daemons that are not relays.
  * @property demand calls per second that arrive for each service with endpoints whose calls are limited.
  * @property rates recent observations of the rates that endpoints name.
+ * @property to incarnation of the receiver to which the sender addresses this message; -1 from older releases.
  * @property crashReports recent crashes of endpoints with the calls that were in work there.
  */
 @Serializable
@@ -88,6 +89,7 @@
     val demand: Map<String, Double> = emptyMap(),
     val rates: List<RateReport> = emptyList(),
     val crashReports: List<CrashReport> = emptyList(),
+    val to: Long = -1,
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
@@ -43,7 +43,8 @@
      * later heartbeat has been applied.
      */
     fun applyHeartbeat(heartbeat: Heartbeat): Peer? = peers[heartbeat.from]
-        ?.takeIf { it.member.incarnation == heartbeat.incarnation && it.applyHeartbeat(heartbeat, clock.now()) }
+        ?.takeIf { it.member.incarnation == heartbeat.incarnation }
+        ?.takeIf { it.applyHeartbeat(heartbeat, clock.now(), receiver = self.incarnation) }
 
     /** Whether a sign of life of [peer] arrived recently, from itself or through a relay. */
     fun isAlive(peer: Peer): Boolean = clock.now() - peer.lastAliveAt < ALIVE_TIMEOUT
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
@@ -126,8 +126,7 @@
 
         private fun send(peer: Peer) {
             val heartbeat = state.heartbeat(isReady = true, isLeaving = false, receiver = peer)
-            val next = heartbeat.copy(sequence = peer.nextSequence(clock.now()), echo = peer.highestReceived)
-            deliver(member.name, peer.member.name, next)
+            deliver(member.name, peer.member.name, peer.addressed(heartbeat, clock.now()))
         }
 
         fun receive(heartbeat: Heartbeat) {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
@@ -44,9 +44,9 @@
 
     @Test
     fun `the bytes of the optional fields of a heartbeat are fixed`() {
-        val whole = Heartbeat("e", 1, 2, crashReports = listOf(CrashReport("i-1", 30, listOf("aabb"))))
+        val whole = Heartbeat("e", 1, 2, crashReports = listOf(CrashReport("i-1", 30, listOf("aabb"))), to = 9)
         val hex = "bf6466726f6d61656b696e6361726e6174696f6e016873657175656e6365026c63726173685265706f7274739fbf616563" +
-            "692d316161181e61639f6461616262ffffffff"
+            "692d316161181e61639f6461616262ffffff62746f09ff"
         assertEquals(hex, HexFormat.of().formatHex(peerCbor.encodeToByteArray(whole)))
         assertEquals(whole, peerCbor.decodeFromByteArray<Heartbeat>(HexFormat.of().parseHex(hex)))
     }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerTableTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerTableTest.kt
@@ -15,7 +15,13 @@
     private fun member(name: String, incarnation: Long = 1) =
         Member(name, incarnation, "z", "r", isEntry = true, ip = "127.0.0.1", peerPort = 1, callers = "$name:80")
 
-    private fun heartbeat(name: String, sequence: Long, echo: Long = -1, incarnation: Long = 1) = Heartbeat(
+    private fun heartbeat(
+        name: String,
+        sequence: Long,
+        echo: Long = -1,
+        incarnation: Long = 1,
+        to: Long = -1,
+    ) = Heartbeat(
         from = name,
         incarnation = incarnation,
         sequence = sequence,
@@ -23,6 +29,7 @@
         isReady = true,
         contactAgeMillis = 100,
         configVersion = 4,
+        to = to,
     )
 
     @Test
@@ -63,6 +70,39 @@
         assertEquals(PeerStoreContact(confirmedAt = 900.milliseconds, configVersion = 4), peer.storeContact())
     }
 
+    /** Guards against a restarted daemon that ignores a peer until its new numbers pass the old ones. */
+    @Test
+    fun `heartbeats for the former process do not hide those for this one`() {
+        val restarted = PeerTable(member("self", incarnation = 2), clock)
+        restarted.replaceMembers(listOf(member("b")))
+        val peer = assertNotNull(restarted.applyHeartbeat(heartbeat("b", 5000, echo = 40, to = 1)))
+        assertEquals(listOf("b"), restarted.servingEntries().map { it.name })
+        assertNull(restarted.applyHeartbeat(heartbeat("b", 5000, to = 1)))
+        clock.advance(2.seconds)
+        assertNotNull(restarted.applyHeartbeat(heartbeat("b", 0, to = 2)))
+        assertEquals(listOf("b"), restarted.servingEntries().map { it.name })
+        assertEquals(0, peer.highestReceived)
+        assertNull(restarted.applyHeartbeat(heartbeat("b", 5001, to = 1)))
+    }
+
+    @Test
+    fun `an echo for the former process does not date a message of this one`() {
+        val restarted = PeerTable(member("self", incarnation = 2), clock)
+        restarted.replaceMembers(listOf(member("b")))
+        val peer = restarted.all.single()
+        val sent = restarted.all.single().addressed(heartbeat("self", 0), clock.now())
+        restarted.applyHeartbeat(heartbeat("b", 5000, echo = sent.sequence, to = 1))
+        assertNull(peer.storeContact())
+        assertEquals(-1, peer.addressed(heartbeat("self", 0), clock.now()).echo)
+    }
+
+    @Test
+    fun `heartbeats of older releases name no receiver and are applied`() {
+        table.replaceMembers(listOf(member("b")))
+        assertNotNull(table.applyHeartbeat(heartbeat("b", 3)))
+        assertNotNull(table.applyHeartbeat(heartbeat("b", 4, to = 1)))
+    }
+
     @Test
     fun `a heartbeat that echoes no known message confirms no store contact`() {
         table.replaceMembers(listOf(member("b")))
