--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
@@ -21,6 +21,7 @@
     OVER_ALLOTMENT,
     CRASHES_ENDPOINTS,
     STOPPING,
+    PARTIAL_TURN,
 }
 
 /** Result of admission control for one call. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
@@ -96,10 +96,20 @@
 
     private fun usedTokens() = events * call.service.tokensPerEvent
 
-    private companion object {
-        const val LINE_FEED = '\n'.code.toByte()
+    companion object {
+        /**
+         * Whether [call] is a turn whose caller asks for the events after another attempt's. Its output could not be
+         * stored whole, and later turns would be built on a part of it.
+         */
+        fun isPartial(call: AdmittedCall): Boolean =
+            call.route.isStateful && call.request.headers.contains(LAST_EVENT_ID)
+
+        private const val LINE_FEED = '\n'.code.toByte()
+
+        /** Standard header of server-sent events. */
+        private const val LAST_EVENT_ID = "Last-Event-Id"
 
         /** Minimum interval between attempts to store a turn. */
-        val STORE_RETRY = 200.milliseconds
+        private val STORE_RETRY = 200.milliseconds
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
@@ -7,6 +7,7 @@
 import io.jasmineford.gateway.call.CallAttributes
 import io.jasmineford.gateway.call.CallServices
 import io.jasmineford.gateway.call.RefusalReason
+import io.jasmineford.gateway.call.TurnSession
 import io.jasmineford.gateway.call.read
 import io.jasmineford.gateway.call.refusalHeaders
 import io.jasmineford.gateway.config.ClientAccount
@@ -80,11 +81,16 @@
             arrivedAt = services.clock.now(),
             arrivedAtMillis = services.wallMillis(),
         )
-        if (accepts(call.expiresAt)) {
+        val reason = when {
+            !accepts(call.expiresAt) -> RefusalReason.STOPPING
+            TurnSession.isPartial(call) -> RefusalReason.PARTIAL_TURN
+            else -> null
+        }
+        if (reason == null) {
             openCalls.start(call, exchange)
         } else {
             call.account?.let { services.rateLimiter.refund(it) }
-            refuse(request, exchange, AdmissionDecision.Refused(UNAVAILABLE, RefusalReason.STOPPING, Duration.ZERO))
+            refuse(request, exchange, AdmissionDecision.Refused(UNAVAILABLE, reason, Duration.ZERO))
         }
     }
 
