--- a/jasmineford-report/src/main/kotlin/io/jasmineford/report/log/CallCause.kt
+++ b/jasmineford-report/src/main/kotlin/io/jasmineford/report/log/CallCause.kt
@@ -112,6 +112,9 @@
     "BAD_HEADERS" to "the attempt id is missing or a number can't be read",
     "NO_SERVICE" to "the route names no service of the current configuration",
     "CRASHES_ENDPOINTS" to "the same call crashed several endpoints before",
+    "STOPPING" to "the daemon was stopping and would have ended before the call's time limit",
+    "stopping-before-send" to "the daemon was about to end and the call had not been sent",
+    "PARTIAL_TURN" to "the caller asked for a part of a turn that has to be stored whole",
     "no-endpoint-in-time" to "the queue for the service was too long for the time left",
     "deadline-before-send" to "no endpoint had a free slot within the time limit",
 )
