--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
@@ -20,6 +20,8 @@
     UNKNOWN_KEY,
     OVER_ALLOTMENT,
     CRASHES_ENDPOINTS,
+    STOPPING,
+    PARTIAL_TURN,
 }
 
 /** Result of admission control for one call. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -15,11 +15,14 @@
  * the caller.
  *
  * Whether a call may be retried after it may have run depends on the kind of its route only.
+ *
+ * @param onDone called once, before the response is completed or after the caller has disconnected.
  */
 class ProxyCall(
     private val call: AdmittedCall,
     private val exchange: CallerExchange,
     private val services: CallServices,
+    private val onDone: () -> Unit = {},
 ) {
     private val route = call.route
     private val clock = services.clock
@@ -27,8 +30,10 @@
     private val response = CallResponse(call, exchange, services) {
         waiting?.let { services.dispatcher.cancel(it) }
         waiting = null
+        memory.hold(0)
         turn.settle()
         if (body !== call.request.body) body.release()
+        onDone()
     }
     private val tried = HashSet<String>()
     private val usedConnections = HashSet<HttpClientConnection>()
@@ -38,6 +43,13 @@
     private var waiting: WaitingCall? = null
     private var attempt: EndpointAttempt? = null
     private var body: ByteBuf = call.request.body
+    private var mayBeSent = true
+    private val memory = services.memory.holder {
+        attempt?.let {
+            it.cancel()
+            it.handler.overflowed("responses of all calls hold too much memory")
+        }
+    }
 
     /** Starts the call; invoked once. */
     fun start() {
@@ -46,10 +58,30 @@
             attempt?.let(::cancelAttempt)
             response.endWithoutCaller()
         }
-        services.scheduler.after(call.expiresAt - clock.now(), ::expire)
+        services.scheduler.after(call.expiresAt - clock.now()) { end("deadline") }
         services.streamVersions.find(call, ::begin)
     }
 
+    /**
+     * Ends the call for [reason]; it is sent to no endpoint from now on. With [isUnsentOnly] a call that an endpoint
+     * runs, or whose turn is being stored, may still finish.
+     */
+    fun end(reason: String, isUnsentOnly: Boolean = false) {
+        mayBeSent = false
+        val current = attempt
+        val isUnsent = waiting != null || (current == null && runs == 0)
+        if (isUnsentOnly && !isUnsent) return
+        if (current != null) {
+            runs++
+            cancelAttempt(current)
+        }
+        when {
+            response.isDone -> Unit
+            runs > 0 || response.isStarted -> response.fail(GATEWAY_TIMEOUT, reason)
+            else -> response.refuse(UNAVAILABLE, "$reason-before-send", Duration.ZERO.takeIf { isUnsentOnly })
+        }
+    }
+
     private fun begin(continuation: StreamContinuation) {
         val resumed = call.attributes.resumedAttempt
         if (resumed != null) response.log("resumes", "began_as" to resumed, "continuation" to continuation)
@@ -80,6 +112,10 @@
     }
 
     private fun submit() {
+        if (!mayBeSent) {
+            giveUp("stopping", Duration.ZERO)
+            return
+        }
         val isTurn = route.kind == RouteKind.STREAM
         val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
@@ -143,21 +179,9 @@
         }
     }
 
-    private fun expire() {
-        val current = attempt
-        if (current != null) {
-            runs++
-            cancelAttempt(current)
-        }
-        when {
-            response.isDone -> Unit
-            runs > 0 || response.isStarted -> response.fail(GATEWAY_TIMEOUT, "deadline")
-            else -> response.refuse(UNAVAILABLE, "deadline-before-send")
-        }
-    }
-
     private fun cancelAttempt(current: EndpointAttempt) {
         attempt = null
+        memory.hold(0)
         current.cancel()
         current.state.inFlight--
         services.dispatcher.assignWaiting()
@@ -204,12 +228,19 @@
 
         override fun data(data: ByteBuf) {
             responseBuffer.onData(data)
-            if (responseBuffer.heldBytes > MAX_HELD_BYTES) {
+            // The call ends when its caller is cut off while an event is passed on.
+            if (attempt == null) return
+            val heldBytes = responseBuffer.heldBytes + turn.outputBytes
+            if (heldBytes > MAX_HELD_BYTES) {
                 attempt?.cancel()
                 broken("response holds more than $MAX_HELD_BYTES bytes")
+            } else {
+                memory.hold(heldBytes.toLong())
             }
         }
 
+        override fun heldBack(bytes: Int) = memory.hold(bytes.toLong())
+
         override fun end(took: Duration) {
             val head = responseBuffer.head
             when {
@@ -239,7 +270,7 @@
 
         override fun broken(reason: String) {
             state.recordFailure()
-            if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint)
+            if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint, state.endpoint.id)
             abandoned(reason)
         }
 
@@ -276,6 +307,7 @@
 
         private fun attemptEnded(wasRun: Boolean) {
             attempt = null
+            memory.hold(0)
             state.inFlight--
             if (wasRun) runs++
             services.dispatcher.assignWaiting()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
@@ -24,12 +24,14 @@
  *
  * @param limits limits on requests; read once for each new connection.
  * @param isClosing whether answers carry `Connection: close`, so that callers move to other daemons.
+ * @param memory budget for answers that callers have not read yet.
  */
 class CallerServer(
     private val group: EventLoopGroup,
     private val limits: () -> CallLimits,
     private val isClosing: () -> Boolean,
     private val log: EventLog,
+    private val memory: MemoryBudget = MemoryBudget(Long.MAX_VALUE),
     private val handler: CallerHandler,
 ) {
     private val connections = HashMap<CallerConnection, Channel>()
@@ -38,6 +40,9 @@
     /** Number of connections with a request that has no complete answer. */
     val openExchanges: Int get() = connections.keys.count { it.isBusy }
 
+    /** Bound address; null before [open]. */
+    val address: InetSocketAddress? get() = listener?.localAddress() as InetSocketAddress?
+
     /** Binds [address]; throws [java.net.BindException] when it is in use. */
     fun open(address: InetSocketAddress) {
         listener = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
@@ -58,6 +63,9 @@
         connections.filterKeys { !it.isBusy }.values.forEach { it.close() }
     }
 
+    /** Refuses the requests that have been read in part only, and closes their connections. */
+    fun refuseUnread() = connections.keys.toList().forEach { it.refuseUnread() }
+
     private fun accept(channel: SocketChannel) {
         KeepAliveProbes(idleSeconds = CALLER_PROBE_IDLE_SECONDS).applyTo(channel)
         val current = limits()
@@ -65,6 +73,7 @@
         connections[connection] = channel
         channel.closeFuture().addListener { connections.remove(connection) }
         channel.pipeline().addLast(
+            OutboundBytes(channel, memory, log),
             HttpRequestDecoder(current.maxHeaderBytes, current.maxHeaderBytes, MAX_CHUNK_BYTES),
             HttpResponseEncoder(),
             connection,
