--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -103,6 +103,11 @@
     }
 
     private fun opened(channel: Channel) {
+        // The connection was closed while it was being opened.
+        if (unsent.isEmpty()) {
+            channel.close()
+            return
+        }
         this.channel = channel
         val frames = unsent.filter { it.number in pending }
         unsent.clear()
