--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -3,8 +3,12 @@
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.http.ConnectionPool
+import io.jasmineford.gateway.http.Connector
 import io.jasmineford.gateway.http.HttpClientConnection
+import io.jasmineford.gateway.http.ResponseIdentity
 import io.jasmineford.gateway.http.ResponseListener
+import io.jasmineford.gateway.http.ResponseMeaning
+import io.jasmineford.gateway.http.tcpConnector
 import io.netty.buffer.ByteBuf
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -99,20 +103,30 @@
  * @param onUnmatched gets each response that belongs to no request.
  */
 class EndpointSender(
-    private val group: EventLoopGroup,
+    private val connector: Connector,
     private val clock: MonotonicClock,
     private val names: CallHeaderNames,
     private val onHead: (EndpointState, HttpHeaders, sentAt: Duration) -> Unit = { _, _, _ -> },
     private val onUnmatched: (UnmatchedResponse) -> Unit = {},
     private val isUsable: (EndpointState) -> Boolean,
 ) {
+    /** Sender over TCP connections on [group]. */
+    constructor(
+        group: EventLoopGroup,
+        clock: MonotonicClock,
+        names: CallHeaderNames,
+        onHead: (EndpointState, HttpHeaders, sentAt: Duration) -> Unit = { _, _, _ -> },
+        onUnmatched: (UnmatchedResponse) -> Unit = {},
+        isUsable: (EndpointState) -> Boolean,
+    ) : this(tcpConnector(group), clock, names, onHead, onUnmatched, isUsable)
+
     private val pools = HashMap<InetSocketAddress, ConnectionPool>()
 
     /** Sends [call] with [headers] and [body]; takes ownership of the body's reference. */
     fun send(attempt: EndpointAttempt, call: AdmittedCall, headers: HttpHeaders, body: ByteBuf) {
         val address = attempt.state.endpoint.address
         val pool = pools.getOrPut(address) {
-            ConnectionPool(group, address, clock) { connection, head ->
+            ConnectionPool(connector, address, clock) { connection, head ->
                 val id = head.headers()[names.attemptId]
                 onUnmatched(UnmatchedResponse(address, connection.number, head.status().code(), id, connection.isBusy))
             }
@@ -184,24 +198,21 @@
         private var refusedStatus: Int? = null
         private var refusalBytes = 0
 
-        // Endpoints echo the id in every response. Bytes without it, such as an extra response, belong to no call.
-        override fun belongsToRequest(head: HttpResponse): Boolean =
-            head.headers()[names.attemptId] == call.attributes.attemptId
+        override val identity =
+            ResponseIdentity(names.attemptId, call.attributes.attemptId, names.signature, names.notExecuted)
 
-        override fun onHead(head: HttpResponse) {
+        override fun onHead(head: HttpResponse, meaning: ResponseMeaning) {
             val status = head.status().code()
-            val isSuccess = status in SUCCESS
             onHead(attempt.state, head.headers(), sentAt)
-            when {
-                status == MISDIRECTED || head.headers().contains(names.notExecuted) -> refusedStatus = status
-                // Garbage from a faulty endpoint may look like a success; only real successes carry the signature.
-                isSuccess && !head.headers().contains(names.signature) -> failAttempt("success without a signature")
-                else -> {
-                    val headers = head.headers().copy()
-                    headers.removeConnectionHeaders()
-                    attempt.handler.head(ResponseHead(status, headers))
-                }
+            if (meaning == ResponseMeaning.NOT_EXECUTED) {
+                refusedStatus = status
+                return
             }
+            val headers = head.headers().copy()
+            headers.removeConnectionHeaders()
+            attempt.handler.head(ResponseHead(status, headers))
+            // Callers take the status as a promise that the call has not run, which the endpoint doesn't state.
+            if (meaning == ResponseMeaning.UNPROVEN_REFUSAL) failAttempt("status $status without a statement")
         }
 
         private fun failAttempt(reason: String) {
@@ -233,8 +244,6 @@
     }
 
     private companion object {
-        const val MISDIRECTED = 421
-
         /** Largest body of a refusal that is read; an endpoint may send one without end. */
         const val MAX_REFUSAL_BYTES = 65_536
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ConnectionPool.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ConnectionPool.kt
@@ -8,13 +8,31 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Opens connections. */
+fun interface Connector {
+    /**
+     * Opens a connection to [address] and passes it to [onDone], null when that fails; [onUnmatched] gets the head of
+     * each response that belongs to no request.
+     */
+    fun open(
+        address: InetSocketAddress,
+        onUnmatched: (HttpClientConnection, HttpResponse) -> Unit,
+        onDone: (HttpClientConnection?) -> Unit,
+    )
+}
+
+/** Connector of TCP connections on [group]. */
+fun tcpConnector(group: EventLoopGroup) = Connector { address, onUnmatched, onDone ->
+    HttpClientConnection.open(group, address, onUnmatched, onDone)
+}
+
 /**
  * Pool of idle connections to one address.
  *
  * @param onUnmatched gets the head of each response that belongs to no request.
  */
 class ConnectionPool(
-    private val group: EventLoopGroup,
+    private val connector: Connector,
     private val address: InetSocketAddress,
     private val clock: MonotonicClock,
     private val onUnmatched: (HttpClientConnection, HttpResponse) -> Unit = { _, _ -> },
@@ -22,6 +40,7 @@
     private class Idle(val connection: HttpClientConnection, val usableUntil: Duration)
 
     private val idle = ArrayDeque<Idle>()
+    private var isClosed = false
 
     /** Passes an idle [isEligible] connection or a new one to [onDone]; null when the address can't be reached. */
     fun acquire(isEligible: (HttpClientConnection) -> Boolean = { true }, onDone: (HttpClientConnection?) -> Unit) {
@@ -36,13 +55,13 @@
         if (index >= 0) {
             onDone(idle.removeAt(index).connection)
         } else {
-            HttpClientConnection.open(group, address, onUnmatched, onDone)
+            connector.open(address, onUnmatched, onDone)
         }
     }
 
     /** Returns [connection] to the pool, or closes it when it can't be reused. Closes connections idle for too long. */
     fun release(connection: HttpClientConnection) {
-        if (connection.isReusable) {
+        if (connection.isReusable && !isClosed) {
             val announced = connection.idleTimeoutSeconds?.seconds?.let { it - CLOSE_MARGIN }
             idle.addLast(Idle(connection, clock.now() + (announced ?: DEFAULT_IDLE_TIMEOUT)))
         } else {
@@ -51,8 +70,9 @@
         while (idle.isNotEmpty() && idle.first().usableUntil <= clock.now()) idle.removeFirst().connection.close()
     }
 
-    /** Closes all idle connections. */
+    /** Closes all idle connections, and each other one when it is released. */
     fun close() {
+        isClosed = true
         idle.forEach { it.connection.close() }
         idle.clear()
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
@@ -15,7 +16,6 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -26,11 +26,11 @@
 
 /** Receives one response. Unless the exchange is aborted, the last call is exactly one of [onEnd] and [onFailure]. */
 interface ResponseListener {
-    /** Whether [head] belongs to the request of this listener; other responses are skipped. */
-    fun belongsToRequest(head: HttpResponse): Boolean = true
+    /** What the response has to bear; null when the server has no ids. */
+    val identity: ResponseIdentity? get() = null
 
-    /** Receives status and headers. */
-    fun onHead(head: HttpResponse)
+    /** Receives status and headers, and what they tell of the request. */
+    fun onHead(head: HttpResponse, meaning: ResponseMeaning)
 
     /** Receives a part of the body; [data] is valid during the call only. */
     fun onData(data: ByteBuf)
@@ -50,17 +50,16 @@
 class HttpClientConnection internal constructor(
     private val channel: Channel,
     private val onUnmatched: (HttpClientConnection, HttpResponse) -> Unit = { _, _ -> },
-) : ChannelInboundHandlerAdapter() {
+) {
     /** Number by which log lines name the connection; unique in the process. */
     val number: Long = lastNumber.incrementAndGet()
 
     /** Whether a request waits for its response. */
-    val isBusy: Boolean get() = listener != null
+    val isBusy: Boolean get() = matcher.isBusy
 
+    private val matcher = ResponseMatcher()
     private var listener: ResponseListener? = null
-    private var isSkipping = false
     private var isWritten = true
-    private var isUnusable = false
     private var isKeptAlive = true
 
     /** Idle timeout from the `Keep-Alive` header of the latest response; null when it had none. */
@@ -68,98 +67,124 @@
         private set
 
     /** Whether another request may be sent. */
-    val isReusable: Boolean get() = channel.isActive && listener == null && isWritten && isKeptAlive && !isUnusable
+    val isReusable: Boolean get() = channel.isActive && isWritten && isKeptAlive && matcher.isReusable
+
+    /** Adds the connection's handlers to its channel. */
+    internal fun install() {
+        channel.pipeline().addLast(HttpRequestEncoder(), ResponseDecoder(matcher), Handler())
+    }
 
     /**
      * Sends [request] and takes over the reference to it; throws [IllegalStateException] while a request is in flight.
      */
     fun send(request: FullHttpRequest, listener: ResponseListener) {
-        check(this.listener == null) { "the connection already carries a request" }
+        matcher.requestSent(listener.identity, request.method())
         this.listener = listener
         isWritten = false
-        isSkipping = false
-        channel.writeAndFlush(request).addListener { isWritten = it.isSuccess }
+        channel.writeAndFlush(request).addListener { write ->
+            isWritten = write.isSuccess
+            if (!isWritten && this.listener === listener) fail("request not written: ${write.cause()?.message}")
+        }
     }
 
     /** Closes the connection without a call to the listener. */
     fun abort() {
         listener = null
-        isUnusable = true
-        channel.close()
-    }
-
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        try {
-            if (message is HttpObject && message.decoderResult().isFailure) {
-                fail("unreadable response: ${message.decoderResult().cause().message}")
-            } else {
-                (message as? HttpResponse)?.let(::readHead)
-                (message as? HttpContent)?.let(::readContent)
-            }
-        } finally {
-            ReferenceCountUtil.release(message)
-        }
+        close()
     }
 
     private fun readHead(head: HttpResponse) {
-        val current = listener
-        if (current == null) {
-            onUnmatched(this, head)
-            fail("response without a request")
-            return
-        }
-        isSkipping = head.status().code() < FIRST_FINAL_STATUS || !current.belongsToRequest(head)
-        if (isSkipping && head.status().code() >= FIRST_FINAL_STATUS) {
-            isUnusable = true
-            onUnmatched(this, head)
-        }
-        if (!isSkipping) {
-            isKeptAlive = HttpUtil.isKeepAlive(head)
-            idleTimeoutSeconds = head.headers()["Keep-Alive"]?.substringAfter("timeout=", "")
-                ?.takeWhile { it.isDigit() }?.toIntOrNull()
-            current.onHead(head)
+        when (val verdict = matcher.headArrived(head)) {
+            is HeadVerdict.Own -> {
+                isKeptAlive = HttpUtil.isKeepAlive(head)
+                idleTimeoutSeconds = head.headers()["Keep-Alive"]?.substringAfter("timeout=", "")
+                    ?.takeWhile { it.isDigit() }?.toIntOrNull()
+                listener?.onHead(head, verdict.meaning)
+            }
+            is HeadVerdict.Interim -> Unit
+            is HeadVerdict.Unmatched -> {
+                onUnmatched(this, head)
+                if (!isBusy) fail("response without a request")
+            }
+            is HeadVerdict.Invalid -> fail(verdict.reason)
         }
     }
 
     private fun readContent(content: HttpContent) {
-        if (isSkipping) return
         val current = listener ?: return
-        if (content.content().isReadable) current.onData(content.content())
+        val data = content.content()
+        if (matcher.bodyArrived(data.readableBytes())) {
+            if (data.isReadable) current.onData(data)
+        } else if (matcher.hasSkippedTooMuch) {
+            fail("responses to other requests without end")
+        }
         // The listener may have aborted the exchange in onData.
-        if (content is LastHttpContent && listener === current) {
-            listener = null
-            if (!isWritten) isUnusable = true
-            current.onEnd()
+        if (content is LastHttpContent && listener === current && matcher.endArrived()) {
+            if (!isWritten) matcher.taint()
+            // Bytes behind the response, and the end of the connection, may have arrived together with it.
+            channel.eventLoop().execute(::deliverEnd)
         }
     }
 
+    /** Passes on the end of a complete response, once. */
+    private fun deliverEnd() {
+        if (!matcher.isEnded) return
+        val current = listener
+        listener = null
+        matcher.requestDone()
+        current?.onEnd()
+    }
+
     private fun fail(reason: String) {
-        isUnusable = true
+        matcher.taint()
+        if (matcher.isEnded) {
+            channel.close()
+            deliverEnd()
+            return
+        }
         val current = listener
         listener = null
+        matcher.requestDone()
         channel.close()
         current?.onFailure(reason)
     }
 
-    override fun channelInactive(context: ChannelHandlerContext) = fail("connection closed")
-
-    @Deprecated("Deprecated in the supertype")
-    override fun exceptionCaught(
-        context: ChannelHandlerContext,
-        cause: Throwable
-    ) = fail(cause.message ?: cause.toString())
-
     /** Closes an idle connection. */
     fun close() {
-        isUnusable = true
+        matcher.taint()
         channel.close()
     }
 
+    private inner class Handler : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            try {
+                if (message is HttpObject && message.decoderResult().isFailure) {
+                    fail("unreadable response: ${message.decoderResult().cause().message}")
+                } else {
+                    (message as? HttpResponse)?.let(::readHead)
+                    (message as? HttpContent)?.let(::readContent)
+                }
+            } finally {
+                ReferenceCountUtil.release(message)
+            }
+        }
+
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            if (matcher.isTainted && listener == null) channel.close()
+        }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event is ChannelInputShutdownEvent) fail("connection closed")
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) = fail("connection closed")
+
+        @Deprecated("Deprecated in the supertype")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
+            fail(cause.message ?: cause.toString())
+    }
+
     companion object {
-        private const val FIRST_FINAL_STATUS = 200
-        private const val MAX_LINE_BYTES = 8192
-        private const val MAX_HEADER_BYTES = 65_536
-        private const val MAX_CHUNK_BYTES = 65_536
         private val lastNumber = AtomicLong()
 
         /** A host in the same region accepts within milliseconds; a lost SYN would be retransmitted only after 1 s. */
@@ -175,16 +200,12 @@
             var connection: HttpClientConnection? = null
             Bootstrap().group(group).channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
+                // Reports the server's orderly close, which is told from a reset by nothing else.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
                         KeepAliveProbes().applyTo(channel)
-                        val opened = HttpClientConnection(channel, onUnmatched)
-                        connection = opened
-                        channel.pipeline().addLast(
-                            HttpRequestEncoder(),
-                            HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                            opened,
-                        )
+                        connection = HttpClientConnection(channel, onUnmatched).also { it.install() }
                     }
                 })
                 .connect(address)
--- /dev/null
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
@@ -0,0 +1,43 @@
+package io.jasmineford.gateway.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+
+/**
+ * Decodes the responses of one connection. A response without a length is complete at the server's orderly close only;
+ * any other end of the connection breaks it off.
+ */
+internal class ResponseDecoder(private val matcher: ResponseMatcher) :
+    HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES) {
+    private var isInputShutDown = false
+
+    override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (buffer.isReadable) matcher.bytesArrived(buffer.getByte(buffer.readerIndex()))
+        super.decode(context, buffer, out)
+    }
+
+    override fun decodeLast(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+        if (isInputShutDown) super.decodeLast(context, buffer, out)
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) {
+            isInputShutDown = true
+            matcher.taint()
+        }
+        super.userEventTriggered(context, event)
+    }
+
+    override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
+        super.isContentAlwaysEmpty(message) || matcher.isWithoutBody(message as HttpResponse)
+
+    private companion object {
+        const val MAX_LINE_BYTES = 8192
+        const val MAX_HEADER_BYTES = 65_536
+        const val MAX_CHUNK_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -0,0 +1,204 @@
+package io.jasmineford.gateway.http
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+
+/**
+ * What the response to a request has to bear.
+ *
+ * @property idHeader header in which the server echoes [id].
+ * @property signatureHeader header of each success.
+ * @property notExecutedHeader header of a response to a request that was not executed.
+ */
+data class ResponseIdentity(
+    val idHeader: String,
+    val id: String,
+    val signatureHeader: String,
+    val notExecutedHeader: String,
+)
+
+/** What a response tells of the request it belongs to. */
+enum class ResponseMeaning {
+    /** The request was executed, or may have been. */
+    EXECUTED,
+
+    /** The request was not executed. */
+    NOT_EXECUTED,
+
+    /** The status is one that promises that the request was not executed, but the server doesn't state it. */
+    UNPROVEN_REFUSAL,
+}
+
+/** To which request the head of a response belongs. */
+sealed interface HeadVerdict {
+    /** The response to the request in flight. */
+    data class Own(val meaning: ResponseMeaning) : HeadVerdict
+
+    /** An interim response, which is skipped. */
+    data object Interim : HeadVerdict
+
+    /** A response to no request or to another one, which is skipped; the connection is not used again. */
+    data object Unmatched : HeadVerdict
+
+    /** Bytes that are no response; nothing behind them can be matched. */
+    data class Invalid(val reason: String) : HeadVerdict
+}
+
+/**
+ * Decides which bytes of a connection belong to its request; without I/O.
+ *
+ * A response belongs to the request in flight if it starts after the request was sent and bears the request's id, once.
+ * The id names a call, not one of its sendings, so a call must not go twice over one connection. Each byte outside the
+ * responses to a request, before it is sent or after its response has ended, makes the connection unusable. See
+ * `docs/decisions/response-matching.md`.
+ */
+class ResponseMatcher {
+    private enum class State { IDLE, AWAITING, SKIPPING, RECEIVING, ENDED }
+
+    private var state = State.IDLE
+    private var identity: ResponseIdentity? = null
+    private var isHeadRequest = false
+    private var isAtStart = false
+    private var skippedHeads = 0
+    private var skippedBytes = 0L
+
+    /** Whether the connection has carried bytes that belong to no request, or must not be used again otherwise. */
+    var isTainted = false
+        private set
+
+    /** Whether a request waits for its response or for the end of it. */
+    val isBusy: Boolean get() = state == State.AWAITING || state == State.SKIPPING || state == State.RECEIVING
+
+    /** Whether the response is complete, but not all bytes that came with it have been looked at. */
+    val isEnded: Boolean get() = state == State.ENDED
+
+    /** Whether a request may be sent. */
+    val isReusable: Boolean get() = state == State.IDLE && !isTainted
+
+    /** Called when a request is sent. A null [identity] accepts every final response, of a server without ids. */
+    fun requestSent(identity: ResponseIdentity?, method: HttpMethod) {
+        check(state == State.IDLE) { "the connection already carries a request" }
+        this.identity = identity
+        isHeadRequest = method == HttpMethod.HEAD
+        state = State.AWAITING
+        isAtStart = true
+        skippedHeads = 0
+        skippedBytes = 0
+    }
+
+    /** Called before bytes are decoded, of which [first] is the first one. */
+    fun bytesArrived(first: Byte) {
+        if (!isBusy || (isAtStart && first != FIRST_BYTE)) isTainted = true
+        isAtStart = false
+    }
+
+    /** Excludes the connection from further use. */
+    fun taint() {
+        isTainted = true
+    }
+
+    /** Whether [head] starts a response without a body because of its request. */
+    fun isWithoutBody(head: HttpResponse): Boolean =
+        isHeadRequest && isBusy && verdictOf(head, identity) is HeadVerdict.Own
+
+    /** Called for the head of each response. */
+    fun headArrived(head: HttpResponse): HeadVerdict {
+        val verdict = if (isBusy) verdictOf(head, identity) else HeadVerdict.Unmatched
+        when (verdict) {
+            is HeadVerdict.Own -> state = State.RECEIVING
+            is HeadVerdict.Interim -> state = State.SKIPPING
+            is HeadVerdict.Unmatched -> {
+                isTainted = true
+                if (isBusy) state = State.SKIPPING
+            }
+            is HeadVerdict.Invalid -> isTainted = true
+        }
+        val isSkipped = verdict is HeadVerdict.Interim || verdict is HeadVerdict.Unmatched
+        if (isSkipped && ++skippedHeads > MAX_SKIPPED_HEADS) return HeadVerdict.Invalid("responses without end")
+        return verdict
+    }
+
+    /** Called for [bytes] of a body; whether they belong to the request. */
+    fun bodyArrived(bytes: Int): Boolean {
+        if (state != State.RECEIVING) skippedBytes += bytes
+        return state == State.RECEIVING
+    }
+
+    /** Whether more bytes were skipped than a response to another request has. */
+    val hasSkippedTooMuch: Boolean get() = skippedBytes > MAX_SKIPPED_BYTES
+
+    /** Called at the end of each response; whether it was the one to the request. */
+    fun endArrived(): Boolean {
+        val isOwn = state == State.RECEIVING
+        isAtStart = true
+        state = when (state) {
+            State.RECEIVING -> State.ENDED
+            State.SKIPPING -> State.AWAITING
+            else -> state
+        }
+        return isOwn
+    }
+
+    /** Called when the bytes that came with the end of the response have been looked at, or the request is given up. */
+    fun requestDone() {
+        state = State.IDLE
+    }
+
+    private companion object {
+        /** Each response begins with its version; the decoder skips white space before it. */
+        const val FIRST_BYTE = 'H'.code.toByte()
+
+        /** Responses that are skipped while a request waits; a faulty server may send them without end. */
+        const val MAX_SKIPPED_HEADS = 32
+
+        /** Bytes of bodies that are skipped while a request waits, as many as a response may have. */
+        const val MAX_SKIPPED_BYTES = 1024 * 1024L
+    }
+}
+
+private const val FIRST_FINAL_STATUS = 200
+private const val LAST_SUCCESS = 299
+private const val MISDIRECTED = 421
+
+/** Statuses that promise callers that a call has not run. */
+private val REFUSALS = setOf(
+    HttpResponseStatus.REQUEST_TIMEOUT.code(),
+    HttpResponseStatus.TOO_MANY_REQUESTS.code(),
+    HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+)
+private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
+
+private fun verdictOf(head: HttpResponse, identity: ResponseIdentity?): HeadVerdict {
+    val status = head.status().code()
+    return when {
+        head.protocolVersion() !in VERSIONS -> HeadVerdict.Invalid("bytes before a response")
+        head.status().reasonPhrase().hasStatusLine() || head.headers().any { it.value.hasStatusLine() } ->
+            HeadVerdict.Invalid("response inside the head of another one")
+        status == HttpResponseStatus.SWITCHING_PROTOCOLS.code() -> HeadVerdict.Invalid("protocol was switched")
+        status < FIRST_FINAL_STATUS -> HeadVerdict.Interim
+        identity == null -> HeadVerdict.Own(ResponseMeaning.EXECUTED)
+        else -> finalVerdictOf(status, head.headers(), identity)
+    }
+}
+
+private fun finalVerdictOf(status: Int, headers: HttpHeaders, identity: ResponseIdentity): HeadVerdict {
+    val ids = headers.getAll(identity.idHeader)
+    val signatures = headers.getAll(identity.signatureHeader)
+    val isSuccess = status in FIRST_FINAL_STATUS..LAST_SUCCESS
+    return when {
+        identity.id !in ids -> HeadVerdict.Unmatched
+        ids.size > 1 || signatures.size > 1 -> HeadVerdict.Invalid("response with two identities")
+        status == MISDIRECTED || headers.contains(identity.notExecutedHeader) ->
+            HeadVerdict.Own(ResponseMeaning.NOT_EXECUTED)
+        // Garbage from a faulty server may look like a success; only real successes carry the signature.
+        isSuccess && signatures.none { it.isNotBlank() } -> HeadVerdict.Invalid("success without a signature")
+        status in REFUSALS -> HeadVerdict.Own(ResponseMeaning.UNPROVEN_REFUSAL)
+        else -> HeadVerdict.Own(ResponseMeaning.EXECUTED)
+    }
+}
+
+/** A head that was cut short runs on into the status line of the next one. */
+private fun String.hasStatusLine() = contains("HTTP/1.")
--- /dev/null
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseFuzzTest.kt
@@ -0,0 +1,25 @@
+package io.jasmineford.gateway.call
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/**
+ * Guards against bytes of one response that reach the caller of another one, calls that run twice and connections that
+ * are used again after they carried bytes that belong to no request.
+ *
+ * `-Dresponses.schedules=N` plays more schedules, `-Dresponses.seed=S` begins with the one of a seed that failed.
+ */
+class ResponseFuzzTest {
+    @Test
+    fun `no caller gets a byte of another response and no call runs more often than its route allows`() {
+        val schedules = System.getProperty("responses.schedules")?.toLong() ?: SCHEDULES
+        val first = System.getProperty("responses.seed")?.toLong() ?: 1
+        for (seed in first until first + schedules) {
+            assertEquals(emptyList(), ResponseSchedule(seed).play(), "seed $seed")
+        }
+    }
+
+    private companion object {
+        const val SCHEDULES = 10_000L
+    }
+}
