--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/config/GatewayConfig.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/config/GatewayConfig.kt
@@ -3,7 +3,7 @@
 /** A complete, immutable version of the configuration that operators publish. */
 class GatewayConfig(
     val version: Long,
-    routes: List<Route>,
+    val routes: List<Route>,
     services: List<Service>,
     accounts: List<ClientAccount>,
     val limits: CallLimits,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
@@ -4,12 +4,13 @@
 import io.jasmineford.gateway.metrics.MetricsServer
 import io.jasmineford.gateway.peer.Heartbeat
 import io.jasmineford.gateway.peer.Peer
+import io.jasmineford.gateway.turn.HistoryBudget
 import io.jasmineford.gateway.turn.HistoryGroup
 import io.jasmineford.gateway.turn.HistoryLog
 import io.jasmineford.gateway.turn.HistoryReplica
 import io.jasmineford.gateway.turn.HistoryServer
-import io.jasmineford.gateway.turn.firstGroup
 import io.jasmineford.gateway.turn.nextGroup
+import io.jasmineford.gateway.turn.proposedFirstGroup
 import kotlinx.serialization.json.JsonElement
 import java.nio.file.Path
 import kotlin.time.Duration
@@ -29,6 +30,8 @@
             Path.of(requireNotNull(node.settings.dataDirectory) { "a history daemon needs a data directory" })
         ),
         events = node.log,
+        clock = node.clock,
+        budget = HistoryBudget.of(Runtime.getRuntime().maxMemory(), node.settings.diskBytes),
         onControl = { node.loop.execute(it) },
     )
     private val replicator = HistoryReplicator(node, history)
@@ -44,6 +47,7 @@
     private var appliedEpoch = 0L
     private var proposedAt = -Duration.INFINITE
     private val retirement: Retirement = Retirement(node, history, membership, retirementStatus)
+    private val expirer = HistoryExpirer(node, history, membership)
     private val observer = GroupObserver(node, history, membership, retirement)
 
     /** Loads the log and opens the sockets. Called outside the event loop; all other functions run on it. */
@@ -56,6 +60,9 @@
         metrics.gauge("jasmineford_history_complete", "1 when the disk holds all") {
             if (history.status.isComplete) 1.0 else 0.0
         }
+        metrics.gauge("jasmineford_history_used_ratio", "Share of the memory or disk for entries, the larger one") {
+            history.usedShare
+        }
         MetricsServer(node.group, node.log, metrics).open(node.settings.metricsAddress)
     }
 
@@ -63,6 +70,7 @@
     fun start() {
         membership.start()
         retirement.start()
+        expirer.start()
         node.every(TICK_PERIOD, ::tick)
         node.every(CLEANUP_PERIOD) { if (historyPeers.isFirstVoter()) membership.removeExpired() }
         node.log.event("started", "role" to "history", "name" to node.settings.name, "standing" to history.status)
@@ -83,7 +91,7 @@
         val others = membership.peers.historyDaemons()
         val group = membership.storedGroup.group
         if (group == null) {
-            if (node.settings.isFirstStart) firstGroup(observer.observe(others))?.let(membership.storedGroup::propose)
+            proposedFirstGroup(history.status, observer.observe(others))?.let(membership.storedGroup::propose)
         } else {
             applyGroup(group, others)
             if (node.clock.now() - proposedAt > PROPOSAL_INTERVAL) proposeChange(group, others)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
@@ -36,9 +36,8 @@
         val request = HistoryRequest.Copy(positions[name] ?: 0, node.settings.name)
         connection.send(group.stampFor(name), request, HistoryQuorum.REPLY_TIMEOUT) { reply ->
             if (reply is HistoryReply.Copied) {
-                history.write(reply.entries) {
-                    positions[name] = reply.next
-                    if (reply.isEnd) ended(peer, reply.status, group) else copyNext(peer, group)
+                history.write(reply.entries) { isSynced ->
+                    if (isSynced) copied(peer, reply, group) else running.remove(name)
                 }
             } else {
                 running.remove(name)
@@ -46,6 +45,11 @@
         }
     }
 
+    private fun copied(peer: Peer, reply: HistoryReply.Copied, group: HistoryGroup) {
+        positions[peer.member.name] = reply.next
+        if (reply.isEnd) ended(peer, reply.status, group) else copyNext(peer, group)
+    }
+
     private fun ended(peer: Peer, status: HistoryStatus?, group: HistoryGroup) {
         running.remove(peer.member.name)
         // From now on the source refuses requests of an older epoch, so no entry can follow the end.
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Retirement.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/Retirement.kt
@@ -49,7 +49,7 @@
     private fun isCopied(group: HistoryGroup): Boolean {
         val complete = membership.peers.historyDaemons()
             .filter { it.heartbeat?.isReady == true && membership.peers.isHeard(it) }.map { it.member.name }
-        return group.voters.all { it in complete && (history.copiedUpTo[it] ?: -1) >= history.size }
+        return group.voters.all { it in complete && (history.copiedUpTo[it] ?: -1) >= history.end }
     }
 
     private fun report() {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryGroup.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryGroup.kt
@@ -81,21 +81,6 @@
     internal val groupSize: Int get() = toleratedDiskLosses * 2 + 1
 }
 
-/**
- * The initial membership: 2n + 1 members for n tolerated disk losses, picked round-robin over the availability zones.
- * Null while too few members are registered.
- */
-fun firstGroup(observation: GroupObservation): HistoryGroup? {
-    val size = observation.groupSize
-    val byZone = observation.members.sortedBy { it.name }
-        .groupBy { it.zone }.toSortedMap().values.map { ArrayDeque(it) }
-    val chosen = ArrayList<String>()
-    while (chosen.size < size && byZone.any { it.isNotEmpty() }) {
-        byZone.filter { it.isNotEmpty() }.forEach { if (chosen.size < size) chosen.add(it.removeFirst().name) }
-    }
-    return if (chosen.size < size) null else HistoryGroup(epoch = 1, voters = chosen.sorted())
-}
-
 /**
  * The membership that the daemon of [observation] should propose after [group], or null when it should propose none.
  *
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryMessage.kt
@@ -47,12 +47,17 @@
     val reservedAtMillis: Long = 0,
 )
 
-/** Record of the history log, and of copies between history daemons; has at least one part. */
+/**
+ * Record of the history log, and of copies between history daemons; has at least one part.
+ *
+ * @property keptMillis age from which entries are dropped, in the log only; see [HistoryRetention].
+ */
 @Serializable
 data class HistoryEntry(
     val tokens: TokenEntry? = null,
     val turn: TurnRecord? = null,
     @SerialName("standing") val status: HistoryStatus? = null,
+    val keptMillis: Long? = null,
 )
 
 /** Requests to a history daemon. */
@@ -78,10 +83,23 @@
     @SerialName("chain")
     data class Chain(val id: String, val account: String) : HistoryRequest
 
-    /** Reads entries from position [from] on and confirms that all earlier ones are on the disk of daemon [reader]. */
+    /**
+     * Reads entries from position [from] on and confirms that all earlier ones are on the disk of daemon [reader].
+     *
+     * @property expired if given, the request reads which of these entries are still needed, and nothing else. Daemons
+     * of releases that do not know the field take it for a copy, which [asksForNeeded] keeps without effect there.
+     */
     @Serializable
     @SerialName("copy")
-    data class Copy(val from: Int, val reader: String) : HistoryRequest
+    data class Copy(val from: Int, val reader: String, val expired: ExpiredEntries? = null) : HistoryRequest
+
+    companion object {
+        /** Position behind all entries, and far enough from the largest number to be added to. */
+        private const val BEHIND_ALL_ENTRIES = 1 shl 30
+
+        /** Asks which of [expired] are still needed. */
+        fun asksForNeeded(expired: ExpiredEntries) = Copy(BEHIND_ALL_ENTRIES, reader = "", expired)
+    }
 }
 
 /** Replies of a history daemon. */
@@ -113,6 +131,8 @@
      * @property next position after the entries.
      * @property isEnd whether no more entries are held now.
      * @property status status of the replying daemon; null if its release does not report one.
+     * @property needed those of the request's expired entries that are still needed; null if it names none, or if the
+     * replying daemon can't tell.
      */
     @Serializable
     @SerialName("copied")
@@ -121,6 +141,7 @@
         val next: Int,
         val isEnd: Boolean,
         val status: HistoryStatus? = null,
+        val needed: ExpiredEntries? = null,
     ) : HistoryReply
 
     /** The request was fenced: it belongs to an epoch older than [epoch]. Nothing was done. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
@@ -1,24 +1,30 @@
 package io.jasmineford.gateway.turn
 
+import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.core.time.systemMonotonicClock
 import io.jasmineford.gateway.log.EventLog
-import java.io.IOException
-import java.util.concurrent.LinkedBlockingQueue
 
 /**
- * One replica of the history: serves reads from memory and persists writes in a write-ahead log.
+ * One replica of the history: serves reads from memory and disk, and persists writes in a write-ahead log.
  *
- * State is confined to the control thread. A writer thread appends queued entries to the log with group commit: one
- * sync covers everything that is queued. A write is acknowledged after its sync.
+ * State is confined to the control thread. A writer thread appends queued entries to the log. A write is acknowledged
+ * after its sync.
  *
+ * @param clock clock from which the ages of entries are counted.
+ * @param budget memory and disk for entries; beyond it, turns are refused.
  * @param onControl runs an action on the control thread.
  */
 class HistoryReplica(
     private val log: HistoryLog,
     private val events: EventLog,
-    private val onControl: (() -> Unit) -> Unit,
+    private val clock: MonotonicClock = systemMonotonicClock(),
+    private val budget: HistoryBudget = HistoryBudget(),
+    onControl: (() -> Unit) -> Unit,
 ) {
-    private val state = HistoryState()
-    private val writeQueue = LinkedBlockingQueue<PendingWrite>()
+    private val state = HistoryState(clock::now, log::read, budget.cacheBytes)
+    private val writer = HistoryWriter(log, events, onControl)
+    private val cleaner = HistoryCleaner(state, log, events, ::append)
+    private val reader = HistoryReader(state)
 
     /**
      * Number of this replica's entries that each other replica has on disk, by the reader's name; counted anew under
@@ -38,16 +44,27 @@
     /** Number of entries held. */
     val size: Int get() = state.size
 
-    private class PendingWrite(val entries: List<HistoryEntry>, val onSynced: () -> Unit)
+    /** Position after the last entry, which a reader that has copied all of them has reached. */
+    val end: Int get() = state.end
+
+    /** Share of the memory or disk for entries that is in use, whichever is larger. */
+    val usedShare: Double get() = budget.usedShare(state.usedBytes, log.bytes)
+
+    /** Decides which entries are kept. */
+    val keeper = HistoryKeeper(state, clock, events) { age ->
+        writer.add(PendingWrite(listOf(HistoryEntry(keptMillis = age.inWholeMilliseconds))) {})
+    }
 
     /** Replays the log and starts the writer thread; on the first start of the deployment the empty log is complete. */
     fun start(isFirstStart: Boolean) {
-        val bytes = log.replay { entry ->
-            entry.status?.let { status = it } ?: state.apply(entry)
+        val bytes = log.replayLocated { entry, location ->
+            entry.status?.let { status = it }
+            entry.keptMillis?.let(keeper::restore)
+            state.hold(entry).forEach { state.located(it, location) }
         }
         syncedStatus = status
         events.event("history-loaded", "entries" to state.size, "bytes" to bytes, "standing" to status)
-        Thread(::writeLoop, "history-writer").apply { isDaemon = true }.start()
+        writer.start()
         if (isFirstStart && !status.knowsGroup) updateStatus(status.copied())
     }
 
@@ -65,21 +82,18 @@
             "copied_at" to next.copiedAt,
             "first_epoch" to next.firstEpoch,
         )
-        writeStatus(next) {}
+        append(emptyList()) {}
     }
 
     /** Makes this voter complete once that is on disk, unless the group has changed until then. */
     fun completeCopy() {
         val copied = status.copied()
-        writeStatus(copied) { if (status.epoch == copied.epoch) updateStatus(copied) }
-    }
-
-    private fun writeStatus(next: HistoryStatus, onSynced: () -> Unit) {
-        val entry = HistoryEntry(status = next)
-        writeQueue.add(
-            PendingWrite(listOf(entry)) {
-                syncedStatus = next
-                onSynced()
+        writer.add(
+            PendingWrite(listOf(HistoryEntry(status = copied))) { locations ->
+                if (locations != null) {
+                    syncedStatus = copied
+                    if (status.epoch == copied.epoch) updateStatus(copied)
+                }
             },
         )
     }
@@ -105,83 +119,73 @@
 
     private fun serve(request: HistoryRequest, reply: (HistoryReply) -> Unit) {
         when (request) {
-            is HistoryRequest.Reserve -> write(listOf(HistoryEntry(tokens = request.entry))) {
-                val ledger = state.tokens(request.entry.program)
-                reply(
-                    if (status.isComplete) {
-                        HistoryReply.Reserved(ledger.total, ledger.digest)
-                    } else {
-                        HistoryReply.Incomplete
-                    },
-                )
+            is HistoryRequest.Reserve -> {
+                val entries = listOf(HistoryEntry(tokens = request.entry))
+                store(entries, HistoryBudget.NEARLY_FULL, reply) {
+                    reader.reserved(request.entry.program, status)
+                }
             }
             is HistoryRequest.Finish -> {
                 val entries = listOfNotNull(
                     request.tokens?.let { HistoryEntry(tokens = it) },
                     request.turn?.let { HistoryEntry(turn = it) },
                 )
-                write(entries) { reply(HistoryReply.Finished) }
+                store(entries, maxShare = 1.0, reply) { HistoryReply.Finished }
             }
             is HistoryRequest.Tokens -> {
                 val entries = state.tokens(request.program).entries.toList()
                 reply(HistoryReply.Tokens(entries, status.isComplete))
             }
-            is HistoryRequest.Chain -> reply(chain(request))
+            is HistoryRequest.Chain -> reply(reader.chain(request, status))
             is HistoryRequest.Copy -> {
-                val copied = copy(request)
+                if (request.expired == null) copiedUpTo[request.reader] = request.from
+                val copied = reader.copy(request, status, request.expired?.let(keeper::needed))
                 // The reader counts on the epoch that fences older requests here, so it has to be on disk first.
-                write(emptyList()) { reply(copied) }
+                append(emptyList()) { isSynced -> reply(if (isSynced) copied else HistoryReply.Incomplete) }
             }
         }
     }
 
-    private fun chain(request: HistoryRequest.Chain): HistoryReply {
-        val (turns, missing) = state.chain(request.id, request.account)
-        return if (missing != null && !status.isComplete) {
-            HistoryReply.Incomplete
+    /** Stores [entries] unless more than [maxShare] of the memory or disk is in use; a refusal leaves no trace. */
+    private fun store(
+        entries: List<HistoryEntry>,
+        maxShare: Double,
+        reply: (HistoryReply) -> Unit,
+        acknowledgement: () -> HistoryReply,
+    ) {
+        if (usedShare > maxShare) {
+            reply(HistoryReply.Incomplete)
         } else {
-            HistoryReply.Turns(
-                turns,
-                missing
-            )
+            write(entries) { isSynced -> reply(if (isSynced) acknowledgement() else HistoryReply.Incomplete) }
         }
     }
 
-    private fun copy(request: HistoryRequest.Copy): HistoryReply {
-        copiedUpTo[request.reader] = request.from
-        val entries = state.entriesFrom(request.from, COPY_ENTRIES)
-        val next = request.from + entries.size
-        return HistoryReply.Copied(entries, next, isEnd = next >= state.size, status)
-    }
-
-    /** Stores [entries], which may be copied from another replica; [onSynced] is called when they are on disk. */
-    fun write(entries: List<HistoryEntry>, onSynced: () -> Unit) {
-        val newEntries = entries.filter { state.apply(it) }
-        // A duplicate is not written again, but its first copy may still wait for its sync: the reply queues behind it.
-        writeQueue.add(PendingWrite(newEntries, onSynced))
-    }
-
-    private fun writeLoop() {
-        val batch = ArrayList<PendingWrite>()
-        while (true) {
-            batch.add(writeQueue.take())
-            writeQueue.drainTo(batch)
-            val writes = batch.toList()
-            batch.clear()
-            try {
-                val entries = writes.flatMap { it.entries }
-                if (entries.isNotEmpty()) log.append(entries)
-                onControl { writes.forEach { it.onSynced() } }
-            } catch (e: IOException) {
-                // Unwritten entries are never acknowledged. The process restarts from what is on disk.
-                events.event("history-write-failed", "reason" to e.message)
-                throw e
-            }
-        }
+    /** Stores [entries], which may be copied from another replica; [onDone] gets whether they are on disk. */
+    fun write(entries: List<HistoryEntry>, onDone: (isSynced: Boolean) -> Unit) =
+        // A duplicate is written again unless it is known to be on disk: its first write may fail.
+        append(entries.flatMap(state::hold), onDone = onDone)
+
+    private fun append(records: List<HeldRecord>, emptied: Int? = null, onDone: (isSynced: Boolean) -> Unit) {
+        val current = status
+        val isStatusDue = !isStatusSynced || emptied != null
+        val entries = records.map(state::entryOf) + listOfNotNull(
+            HistoryEntry(status = current).takeIf { isStatusDue },
+            keeper.keptFor?.takeIf { emptied != null }?.let { HistoryEntry(keptMillis = it.inWholeMilliseconds) },
+        )
+        writer.add(
+            PendingWrite(entries, emptied) { locations ->
+                if (locations != null) {
+                    records.zip(locations).forEach { (record, location) -> state.located(record, location) }
+                    if (isStatusDue) syncedStatus = current
+                }
+                onDone(locations != null)
+            },
+        )
     }
 
-    private companion object {
-        /** Entries in one copy reply, some hundred KB of turns. */
-        const val COPY_ENTRIES = 64
+    /** Writes a status that could not be written, and frees disk space; called from time to time. */
+    fun maintain() {
+        if (!isStatusSynced) append(emptyList()) {}
+        cleaner.clean()
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryStatus.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryStatus.kt
@@ -36,6 +36,9 @@
     /** Whether the daemon has seen a group with its present disk, or belongs to the first start of the deployment. */
     internal val knowsGroup: Boolean get() = epoch > 0 || completeThrough >= 0
 
+    /** Whether the daemon belongs to the first start of the deployment and has seen no group yet. */
+    internal val isOfFirstStart: Boolean get() = epoch == 0L && completeThrough >= 0
+
     /** Status of the daemon once it knows the group of [stamp]. */
     fun inGroup(stamp: GroupStamp): HistoryStatus {
         // A daemon that left the group and joined again lacks what was written meanwhile, whether it noticed or not.
