--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -121,7 +121,7 @@
         group: EventLoopGroup,
         clock: MonotonicClock,
         names: CallHeaderNames,
-        onHead: (EndpointState, HttpHeaders, sentAt: Duration) -> Unit = { _, _, _ -> },
+        onHead: (EndpointState, HttpResponse, sentAt: Duration) -> Unit = { _, _, _ -> },
         onUnmatched: (UnmatchedResponse) -> Unit = {},
         isUsable: (EndpointState) -> Boolean,
     ) : this(tcpConnector(group), clock, names, onHead, onUnmatched, isUsable)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
@@ -14,6 +14,7 @@
 import io.jasmineford.gateway.http.CallerExchange
 import io.jasmineford.gateway.http.CallerRequest
 import io.jasmineford.gateway.http.Connector
+import io.jasmineford.gateway.http.MemoryBudget
 import io.jasmineford.gateway.limit.AccountRateLimiter
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.limit.RateLimitTolerance
@@ -137,6 +138,7 @@
             metrics = CallMetrics(),
             latencyBaseline = RouteLatencyBaseline(),
             streamVersions = StreamVersions(StreamOrigins(quorum), directory::versionMix),
+            memory = MemoryBudget(Long.MAX_VALUE),
         )
     }
 
