--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/HeldResponsesTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/HeldResponsesTest.kt
@@ -11,6 +11,7 @@
 import io.jasmineford.gateway.http.MemoryBudget
 import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.turn.GroupView
+import io.jasmineford.gateway.turn.HistoryReply
 import io.jasmineford.gateway.turn.HistoryQuorum
 import io.netty.buffer.Unpooled
 import io.netty.channel.MultiThreadIoEventLoopGroup
@@ -42,13 +43,15 @@
     private val memory = MemoryBudget(LIMIT_BYTES)
     private val server = ServerSocket(0, CALLS, InetAddress.getLoopbackAddress())
 
-    /** History daemons that never answer, so that the versions of streams are never recorded. */
+    private val unanswered = ArrayDeque<(HistoryReply?) -> Unit>()
+
+    /** History daemons that don't answer during the test, so that the versions of streams are not recorded. */
     private val silentQuorum = HistoryQuorum(
         view = {
             val names = listOf("a", "b", "c")
             GroupView(1, majority = 2, names.map { Member(it, 1, "a", "r", isEntry = false, ip = "", peerPort = 1) })
         },
-        channel = { _, _, _, _ -> },
+        channel = { _, _, _, onReply -> unanswered.add(onReply) },
         wallMillis = { 0 },
     )
 
@@ -66,6 +69,8 @@
 
     @AfterTest
     fun stop() {
+        // The calls release what they hold.
+        loop.submit { repeat(MAX_REPLIES) { unanswered.removeFirstOrNull()?.invoke(null) } }.get()
         server.close()
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
@@ -141,6 +146,7 @@
         val CALL_TIMEOUT = 60.seconds
         const val WAIT_SECONDS = 20L
         const val CALLS = 40
+        const val MAX_REPLIES = 1000
         const val BODY_BYTES = 600 * 1024
         const val LIMIT_BYTES = 4L * 1024 * 1024
 
