--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -169,6 +169,7 @@
     HttpResponseStatus.TOO_MANY_REQUESTS.code(),
     HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
 )
+private val STATUS_LINE = Regex("HTTP/1\\.[01] \\d{3}")
 private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
 
 private fun verdictOf(head: HttpResponse, identity: ResponseIdentity?): HeadVerdict {
@@ -201,4 +202,4 @@
 }
 
 /** A head that was cut short runs on into the status line of the next one. */
-private fun String.hasStatusLine() = contains("HTTP/1.")
+private fun String.hasStatusLine() = contains("HTTP/1.") && STATUS_LINE.containsMatchIn(this)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/ResponseBoundaryTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/ResponseBoundaryTest.kt
@@ -126,6 +126,12 @@
         }
     }
 
+    @Test
+    fun `a header may name a version of the protocol`() {
+        val named = OWN.replace("Signature", "Server: FastHTTP/1.1 (200)\r\nSignature")
+        assertEquals("EXECUTED 200 done end", outcomeOf(named))
+    }
+
     @Test
     fun `a success without a signature, or with several ids or signatures, breaks the call off`() {
         val heads = listOf(
