--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/LateCopyTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/LateCopyTest.kt
@@ -130,7 +130,8 @@
     private fun call(kind: RouteKind): AdmittedCall {
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders().add("Attempt", "a1")
         val request = CallerRequest(HttpMethod.GET, "/p/", headers, Unpooled.EMPTY_BUFFER)
-        val route = Route("r", "h", "/p/", kind, CALL_TIMEOUT, 1.seconds, 0, emptyList()).copy(maxAttempts = 3, isResumable = kind == RouteKind.STREAM)
+        val route = Route("r", "h", "/p/", kind, CALL_TIMEOUT, 1.seconds, 0, emptyList())
+            .copy(maxAttempts = 3, isResumable = kind == RouteKind.STREAM)
         val attributes = checkNotNull(headerNames.read(request))
         return AdmittedCall(request, attributes, route, null, Service("models"), "f", clock.now(), 0)
     }
