--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
@@ -38,6 +38,9 @@
 
     private var syncedStatus = status
 
+    /** The status that the log will end with once the queued writes are on disk. */
+    private var queuedStatus = status
+
     /** Whether the status is on disk. Before it is, a crash makes the daemon forget which groups it has seen. */
     val isStatusSynced: Boolean get() = status == syncedStatus
 
@@ -63,6 +66,7 @@
             state.hold(entry).forEach { state.located(it, location) }
         }
         syncedStatus = status
+        queuedStatus = status
         events.event("history-loaded", "entries" to state.size, "bytes" to bytes, "standing" to status)
         writer.start()
         if (isFirstStart && !status.knowsGroup) updateStatus(status.copied())
@@ -82,17 +86,22 @@
             "copied_at" to next.copiedAt,
             "first_epoch" to next.firstEpoch,
         )
-        append(emptyList()) {}
+        writeStatus(next) {}
     }
 
-    /** Makes this voter complete once that is on disk, unless the group has changed until then. */
+    /** Makes this voter complete once that is on disk, unless the group or the log's status has changed until then. */
     fun completeCopy() {
         val copied = status.copied()
+        writeStatus(copied) { if (status.epoch == copied.epoch && queuedStatus == copied) updateStatus(copied) }
+    }
+
+    private fun writeStatus(next: HistoryStatus, onSynced: () -> Unit) {
+        queuedStatus = next
         writer.add(
-            PendingWrite(listOf(HistoryEntry(status = copied))) { locations ->
+            PendingWrite(listOf(HistoryEntry(status = next))) { locations ->
                 if (locations != null) {
-                    syncedStatus = copied
-                    if (status.epoch == copied.epoch) updateStatus(copied)
+                    syncedStatus = next
+                    onSynced()
                 }
             },
         )
@@ -168,6 +177,7 @@
     private fun append(records: List<HeldRecord>, emptied: Int? = null, onDone: (isSynced: Boolean) -> Unit) {
         val current = status
         val isStatusDue = !isStatusSynced || emptied != null
+        if (isStatusDue) queuedStatus = current
         val entries = records.map(state::entryOf) + listOfNotNull(
             HistoryEntry(status = current).takeIf { isStatusDue },
             keeper.keptFor?.takeIf { emptied != null }?.let { HistoryEntry(keptMillis = it.inWholeMilliseconds) },
