--- /dev/null
+++ b/jasmineford-soak/src/test/kotlin/io/jasmineford/soak/PromiseCheckTest.kt
@@ -0,0 +1,184 @@
+package io.jasmineford.soak
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+/** Each check finds a record that breaks its promise, and nothing in one that keeps it. */
+class PromiseCheckTest {
+    private val lookup = call("a", CallKind.LOOKUP, Seal("a", 1, 200))
+    private val draft = call("d", CallKind.DRAFT, Seal("d", 1, 200)).copy(body = "", events = events("d", 1, 1..6))
+    private val talk = call("t", CallKind.TALK, Seal("t", 1, 200)).copy(body = "", events = events("t", 1, 1..6))
+
+    private fun call(id: String, kind: CallKind, seal: Seal?) = CallRecord(
+        id = id,
+        kind = kind,
+        daemon = "edge-a1",
+        connection = 1,
+        sentAtMs = 0.0,
+        endedAtMs = 50.0,
+        end = AnswerEnd.WHOLE,
+        status = seal?.status ?: 0,
+        answeredId = id,
+        seal = seal?.toString(),
+        body = seal?.body().orEmpty(),
+    )
+
+    private fun refusal(id: String, kind: CallKind, status: Int = 503) = call(id, kind, null).copy(status = status)
+
+    private fun events(id: String, sending: Int, numbers: IntRange, isExtra: Boolean = false) =
+        numbers.map { ReceivedEvent("$it", "${Seal(id, sending, 200, isExtra)}") }
+
+    private fun sending(
+        call: CallRecord,
+        number: Int,
+        outcome: Outcome = Outcome.SUCCESS,
+        lastEvent: Int = 0,
+    ) = Sending(
+        call = call.id,
+        kind = call.kind,
+        number = number,
+        endpoint = "app-1",
+        connection = 1,
+        order = number,
+        atMs = 10.0 * number,
+        lastEvent = lastEvent,
+        outcome = outcome,
+        status = when (outcome) {
+            Outcome.SUCCESS, Outcome.CUT -> 200
+            Outcome.FAILURE -> 500
+            Outcome.REJECTION -> 503
+            Outcome.LOST -> 0
+        },
+        isWhole = outcome != Outcome.CUT && outcome != Outcome.LOST,
+        endedAtMs = 10.0 * number + 5,
+    )
+
+    private fun broken(call: CallRecord, vararg sendings: Sending, stops: List<PlannedStop> = emptyList()) =
+        PromiseCheck(SoakRecord(listOf(call), sendings.toList(), stops = stops)).violations().map { it.promise }
+
+    private fun assertKept(call: CallRecord, vararg sendings: Sending) =
+        assertEquals(emptyList(), broken(call, *sendings))
+
+    private fun assertBroken(promise: Promise, call: CallRecord, vararg sendings: Sending) =
+        assertEquals(listOf(promise), broken(call, *sendings))
+
+    @Test
+    fun `a success of a whole run, a failure as the endpoint gave it and a refusal keep all promises`() {
+        assertKept(lookup, sending(lookup, 1))
+        val failed = call("f", CallKind.POST, Seal("f", 1, 500))
+        assertKept(failed, sending(failed, 1, Outcome.FAILURE))
+        assertKept(refusal("r", CallKind.POST), sending(refusal("r", CallKind.POST), 1, Outcome.REJECTION))
+        assertKept(draft, sending(draft, 1))
+    }
+
+    @Test
+    fun `MIXED - a second answer to a sending that failed`() {
+        val mixed = call("a", CallKind.LOOKUP, Seal("a", 1, 200, isExtra = true))
+        assertBroken(Promise.MIXED, mixed, sending(mixed, 1, Outcome.FAILURE))
+    }
+
+    @Test
+    fun `MIXED - a success where the endpoint answered a failure, or without a run`() {
+        assertBroken(Promise.MIXED, lookup, sending(lookup, 1, Outcome.FAILURE))
+        assertBroken(Promise.MIXED, lookup)
+        assertBroken(Promise.MIXED, lookup, sending(lookup, 1).copy(isWhole = false))
+        assertBroken(Promise.MIXED, lookup.copy(seal = null), sending(lookup, 1))
+    }
+
+    @Test
+    fun `MIXED - a failure with the signature of another status`() {
+        val mixed = lookup.copy(status = 500, body = "")
+        assertBroken(Promise.MIXED, mixed, sending(lookup, 1))
+    }
+
+    @Test
+    fun `MIXED - bytes of another call`() {
+        assertBroken(Promise.MIXED, lookup.copy(answeredId = "b"), sending(lookup, 1))
+        assertBroken(Promise.MIXED, lookup.copy(seal = "b.1.200"), sending(lookup, 1))
+        assertBroken(Promise.MIXED, lookup.copy(body = Seal("b", 1, 200).body()), sending(lookup, 1))
+        assertBroken(Promise.MIXED, lookup.copy(strayBytes = true), sending(lookup, 1))
+        val foreign = draft.copy(events = events("x", 1, 1..6))
+        assertBroken(Promise.MIXED, foreign, sending(draft, 1))
+    }
+
+    @Test
+    fun `MIXED - a stream that is a second answer as a whole`() {
+        val extra = Seal("d", 1, 200, isExtra = true)
+        val mixed = draft.copy(seal = "$extra", events = events("d", 1, 1..6, isExtra = true))
+        assertBroken(Promise.MIXED, mixed, sending(draft, 1, Outcome.FAILURE))
+    }
+
+    @Test
+    fun `ORDER - a resumable stream may go on at another run after its last event only`() {
+        val resumed = draft.copy(events = events("d", 1, 1..3) + events("d", 2, 4..6))
+        val first = sending(draft, 1, Outcome.CUT)
+        assertKept(resumed, first, sending(draft, 2, lastEvent = 3))
+        assertBroken(Promise.ORDER, resumed, first, sending(draft, 2))
+        val plain = talk.copy(events = events("t", 1, 1..3) + events("t", 2, 4..6))
+        val second = sending(talk, 2, Outcome.REJECTION, lastEvent = 3)
+        assertBroken(Promise.ORDER, plain, sending(talk, 1), second)
+    }
+
+    @Test
+    fun `ORDER - a stream joined with a second answer`() {
+        val joined = draft.copy(events = events("d", 1, 1..3) + events("d", 2, 1..6, isExtra = true))
+        assertBroken(Promise.ORDER, joined, sending(draft, 1, Outcome.CUT), sending(draft, 2, Outcome.FAILURE, 3))
+        val goingOn = draft.copy(events = events("d", 1, 1..3) + events("d", 2, 4..6, isExtra = true))
+        assertBroken(Promise.ORDER, goingOn, sending(draft, 1, Outcome.CUT), sending(draft, 2, lastEvent = 3))
+    }
+
+    @Test
+    fun `ORDER - missing and doubled pieces and an early end`() {
+        assertBroken(Promise.ORDER, draft.copy(events = events("d", 1, 1..2) + events("d", 1, 4..6)), sending(draft, 1))
+        assertBroken(Promise.ORDER, draft.copy(events = events("d", 1, 1..4) + events("d", 1, 4..6)), sending(draft, 1))
+        assertBroken(Promise.ORDER, draft.copy(events = events("d", 1, 1..4)), sending(draft, 1))
+        assertKept(draft.copy(events = events("d", 1, 1..4), end = AnswerEnd.CLOSED), sending(draft, 1, Outcome.CUT))
+    }
+
+    @Test
+    fun `TWICE - a call that may not be repeated ran twice`() {
+        val post = call("p", CallKind.POST, Seal("p", 2, 200))
+        assertBroken(Promise.TWICE, post, sending(post, 1, Outcome.FAILURE), sending(post, 2))
+        assertBroken(Promise.TWICE, talk, sending(talk, 1), sending(talk, 2))
+        assertKept(post, sending(post, 1, Outcome.REJECTION), sending(post, 2))
+        assertKept(lookup, sending(lookup, 1), sending(lookup, 2))
+    }
+
+    @Test
+    fun `REFUSED - a refused call ran`() {
+        listOf(402, 408, 421, 429, 503).forEach { status ->
+            val refused = refusal("p", CallKind.POST, status)
+            assertBroken(Promise.REFUSED, refused, sending(refused, 1, Outcome.REJECTION), sending(refused, 2))
+        }
+        val failed = refusal("p", CallKind.POST, status = 502)
+        assertKept(failed, sending(failed, 1, Outcome.LOST))
+    }
+
+    @Test
+    fun `ENDLESS - a call or a started stream without an end`() {
+        assertBroken(Promise.ENDLESS, refusal("p", CallKind.POST, 0).copy(end = AnswerEnd.NO_END))
+        val open = draft.copy(events = events("d", 1, 1..3), end = AnswerEnd.NO_END)
+        assertBroken(Promise.ENDLESS, open, sending(draft, 1, Outcome.CUT))
+    }
+
+    @Test
+    fun `LOST - a planned stop cuts a call that was passed on`() {
+        val stop = PlannedStop("edge-a1", atMs = 0.0, endedAtMs = 7000.0)
+        val late = refusal("p", CallKind.POST, 0).copy(sentAtMs = 5000.0, endedAtMs = 7000.0, end = AnswerEnd.CLOSED)
+        val passedOn = sending(late, 1).copy(atMs = 5001.0, endedAtMs = 7500.0)
+        assertEquals(listOf(Promise.LOST), broken(late, passedOn, stops = listOf(stop)))
+        assertEquals(listOf(Promise.LOST), broken(late, stops = listOf(stop)))
+        assertEquals(emptyList(), broken(late.copy(endedAtMs = 5100.0), stops = listOf(stop)))
+        val early = late.copy(sentAtMs = 2900.0, endedAtMs = 5800.0)
+        assertEquals(emptyList(), broken(early, passedOn, stops = listOf(stop)))
+    }
+
+    @Test
+    fun `ENDED - a process that ends by itself or does not end in time`() {
+        val record = SoakRecord(
+            stops = listOf(PlannedStop("edge-a1", atMs = 0.0, endedAtMs = null)),
+            ends = listOf(UnexpectedEnd("edge-b1", exitCode = 3)),
+        )
+        assertEquals(listOf(Promise.ENDED, Promise.ENDED), PromiseCheck(record).violations().map { it.promise })
+    }
+}
--- /dev/null
+++ b/jasmineford-soak/src/test/kotlin/io/jasmineford/soak/SoakIntegrationTest.kt
@@ -0,0 +1,51 @@
+package io.jasmineford.soak
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/**
+ * Runs the real programs below `soak.root` for some seconds. A failure names seed and folder; `traces.txt` in the
+ * folder has the calls concerned.
+ */
+class SoakIntegrationTest {
+    private fun assertKept(scenario: Scenario, seed: Long, endpoints: Int, seconds: Int): SoakReport {
+        val options = SoakOptions(
+            scenario = scenario,
+            seed = seed,
+            seconds = seconds,
+            endpoints = endpoints,
+            callers = CALLERS,
+            root = System.getProperty("soak.root"),
+            folder = "${System.getProperty("soak.folder")}/$scenario-$seed-$endpoints",
+        )
+        val report = Soak(options).run()
+        println(report.summary())
+        val listed = report.violations.joinToString("\n") { "${it.promise} ${it.call}: ${it.what}" }
+        assertEquals(emptyMap(), report.broken, "seed $seed, folder ${options.folder}:\n$listed\n")
+        return report
+    }
+
+    @Test
+    fun `one endpoint that answers twice breaks no promise`() {
+        val report = assertKept(Scenario.STUTTER, seed = 1, endpoints = 1, seconds = 8)
+        val kinds = report.kinds.filterValues { it.served > 0 }.keys
+        assertEquals(CallKind.entries.toSet(), kinds, "calls of all kinds are served")
+        assertTrue(report.extras.keys.containsAll(SENT_PLACES), "second answers arrive at ${report.extras.keys}")
+    }
+
+    @Test
+    fun `two endpoints that answer twice break no promise`() {
+        assertKept(Scenario.STUTTER, seed = 2, endpoints = 2, seconds = 8)
+    }
+
+    @Test
+    fun `planned stops break no promise`() {
+        assertKept(Scenario.STOPS, seed = 3, endpoints = 3, seconds = 10)
+    }
+
+    private companion object {
+        const val CALLERS = 12
+        val SENT_PLACES = setOf(ExtraPlace.SAME_SEGMENT, ExtraPlace.IDLE)
+    }
+}
