--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -5,7 +5,6 @@
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
 import io.jasmineford.gateway.http.CallerExchange
-import io.jasmineford.gateway.http.HttpClientConnection
 import io.netty.buffer.ByteBuf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -36,7 +35,7 @@
         onDone()
     }
     private val tried = HashSet<String>()
-    private val usedConnections = HashSet<HttpClientConnection>()
+    private val earlier = EarlierSendings()
     private var streamVersion: String? = null
     private var sends = 0
     private var runs = 0
@@ -138,8 +137,8 @@
         tried.add(state.endpoint.id)
         val outcome = AttemptOutcome(state)
         val next = when (streamVersion) {
-            null -> services.streamVersions.attempt(call, state, outcome, usedConnections) { attempt === it }
-            else -> EndpointAttempt(state, outcome, usedConnections)
+            null -> services.streamVersions.attempt(call, state, outcome, earlier) { attempt === it }
+            else -> EndpointAttempt(state, outcome, earlier.connections)
         }
         attempt = next
         val headers = call.headersFor(services.names, state, call.callerDeadline - clock.now(), turn.lastEventId)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/StreamVersions.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/StreamVersions.kt
@@ -4,6 +4,7 @@
 import io.jasmineford.gateway.endpoint.VersionMix
 import io.jasmineford.gateway.http.HttpClientConnection
 import io.jasmineford.gateway.turn.ProgramKey
+import io.jasmineford.gateway.turn.RecordedOrigin
 import io.jasmineford.gateway.turn.StreamOrigin
 import io.jasmineford.gateway.turn.StreamOrigins
 
@@ -16,6 +17,19 @@
     data object Nowhere : StreamContinuation
 }
 
+/**
+ * What a call has to know of its earlier sendings, which all have the id of the caller's attempt.
+ *
+ * @property connections connections that have carried the call.
+ */
+class EarlierSendings {
+    val connections: MutableSet<HttpClientConnection> = HashSet()
+    private var origins = 0
+
+    /** The next record of the version at which the call's stream begins. */
+    internal fun nextOrigin(version: String) = RecordedOrigin(version, ++origins)
+}
+
 /**
  * Keeps streams to the software version that began them, also when callers take them up again at another daemon.
  *
@@ -36,27 +50,27 @@
         call: AdmittedCall,
         state: EndpointState,
         handler: AttemptHandler,
-        usedConnections: MutableSet<HttpClientConnection>,
+        earlier: EarlierSendings,
         isCurrent: (EndpointAttempt) -> Boolean,
     ): EndpointAttempt {
         if (!call.route.isResumable || isWithoutRecords(call)) {
-            return EndpointAttempt(state, handler, usedConnections)
+            return EndpointAttempt(state, handler, earlier.connections)
         }
         lateinit var next: EndpointAttempt
         val recorded = RecordedAttempt(
             handler = handler,
-            record = { onDone -> record(call, state.endpoint.version, onDone) },
+            record = { onDone -> record(call, earlier.nextOrigin(state.endpoint.version), onDone) },
             isCurrent = { isCurrent(next) },
             abort = { next.cancel() },
         )
-        next = EndpointAttempt(state, recorded, usedConnections)
+        next = EndpointAttempt(state, recorded, earlier.connections)
         return next
     }
 
-    private fun record(call: AdmittedCall, version: String, onDone: (Boolean) -> Unit) {
+    private fun record(call: AdmittedCall, origin: RecordedOrigin, onDone: (Boolean) -> Unit) {
         // A stream whose version was not known goes on under the id that its caller names again next time.
         val attempt = call.attributes.resumedAttempt ?: call.attributes.attemptId
-        origins.record(keyOf(call, attempt), attempt, version, onDone)
+        origins.record(keyOf(call, attempt), attempt, origin, onDone)
     }
 
     /** Determines where [call] may run, which may take up a stream that another attempt began. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/StreamOrigins.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/StreamOrigins.kt
@@ -12,6 +12,25 @@
     data object Unknown : StreamOrigin
 }
 
+/**
+ * A software version at which a stream began.
+ *
+ * @property number counts the records of one attempt of a caller, from 1 on.
+ */
+data class RecordedOrigin(val version: String, val number: Int) {
+    /** Stored form. That of the first record is the version alone, as daemons of the release before read and write it. */
+    internal val text: String get() = if (number == 1) version else "@$number@$version"
+
+    internal companion object {
+        private val NUMBERED = Regex("@([0-9]{1,9})@(.*)", RegexOption.DOT_MATCHES_ALL)
+
+        fun parse(text: String): RecordedOrigin {
+            val (number, version) = NUMBERED.matchEntire(text)?.destructured ?: return RecordedOrigin(text, number = 1)
+            return RecordedOrigin(version, number.toInt())
+        }
+    }
+}
+
 /**
  * Records at which software version streams began, so that any daemon can go on with them at that version.
  *
@@ -22,9 +41,14 @@
     /** Whether a group of history daemons is known that keeps the records. */
     val isKept: Boolean get() = quorum.hasGroup
 
-    /** Records that [attempt] of [program] began at [version]; [onDone] gets whether a majority has it on disk. */
-    fun record(program: ProgramKey, attempt: String, version: String, onDone: (Boolean) -> Unit) {
-        val entry = TokenEntry(program, prefixOf(attempt) + version, tokens = 0, isSettled = true)
+    /**
+     * Records that [attempt] of [program] began at [origin]; [onDone] gets whether a majority has it on disk.
+     *
+     * An attempt of a caller is sent again while none of its events has arrived, and may then begin at another version:
+     * its latest record applies.
+     */
+    fun record(program: ProgramKey, attempt: String, origin: RecordedOrigin, onDone: (Boolean) -> Unit) {
+        val entry = TokenEntry(program, prefixOf(attempt) + origin.text, tokens = 0, isSettled = true)
         quorum.finish(entry, turn = null, onDone)
     }
 
@@ -32,12 +56,14 @@
     fun find(program: ProgramKey, attempt: String, onDone: (StreamOrigin) -> Unit) =
         quorum.ledger(program) { ledger ->
             val prefix = prefixOf(attempt)
-            val versions = ledger?.entries.orEmpty().map { it.attempt }.filter { it.startsWith(prefix) }
+            val origins = ledger?.entries.orEmpty().map { it.attempt }.filter { it.startsWith(prefix) }
+                .map { RecordedOrigin.parse(it.removePrefix(prefix)) }
+            val latest = origins.filter { origin -> origins.none { it.number > origin.number } }
             onDone(
                 when {
-                    ledger == null || versions.size > 1 -> StreamOrigin.Unknown
-                    versions.isEmpty() -> StreamOrigin.NotRecorded
-                    else -> StreamOrigin.Recorded(versions.single().removePrefix(prefix))
+                    ledger == null || latest.size > 1 -> StreamOrigin.Unknown
+                    latest.isEmpty() -> StreamOrigin.NotRecorded
+                    else -> StreamOrigin.Recorded(latest.single().version)
                 },
             )
         }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StreamVersionTest.kt
@@ -146,6 +146,17 @@
         assertEquals("503", stale.call("b2", resumes = "a1").outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
     }
 
+    /** Guards against streams that are lost because their first sending broke off at an endpoint of another version. */
+    @Test
+    fun `a stream whose first sending had no event goes on at the version of its events`() {
+        val endpoints = arrayOf(server("old", "v1", "", isWhole = false), server("new", "v2", EVENT_1 + EVENT_2))
+        val first = Daemon(*endpoints).call("a1")
+        assertEquals("end", first.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        val second = Daemon(*endpoints, zone = "b").call("b1", resumes = "a1")
+        assertEquals("end", second.outcomes.poll(WAIT_SECONDS, TimeUnit.SECONDS))
+        assertEquals(listOf(setOf("v2"), setOf("v2")), listOf(first.versions(), second.versions()))
+    }
+
     private fun RecordingExchange.versions() = parts.map { it.substringAfter("data: ").substringBefore('/') }.toSet()
 
     private class Server(val name: String, val version: String, val port: Int)
