--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/HeldResponsesTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/HeldResponsesTest.kt
@@ -11,8 +11,8 @@
 import io.jasmineford.gateway.http.MemoryBudget
 import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.turn.GroupView
-import io.jasmineford.gateway.turn.HistoryReply
 import io.jasmineford.gateway.turn.HistoryQuorum
+import io.jasmineford.gateway.turn.HistoryReply
 import io.netty.buffer.Unpooled
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
