--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
@@ -77,14 +77,17 @@
 internal class RecordingExchange : CallerExchange {
     val parts = LinkedBlockingQueue<String>()
     val outcomes = LinkedBlockingQueue<String>()
+    private var isStarted = false
     override val isOpen = true
     override var onDisconnect: () -> Unit = {}
 
     override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
-        outcomes.add("$status")
+        outcomes.add(if (isStarted) "$status inside a started response" else "$status")
     }
 
-    override fun startAnswer(status: Int, headers: HttpHeaders) = Unit
+    override fun startAnswer(status: Int, headers: HttpHeaders) {
+        isStarted = true
+    }
 
     override fun sendPart(data: ByteBuf) {
         parts.add(data.toString(Charsets.UTF_8))
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
@@ -176,7 +176,8 @@
         }
 
         override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
-            ends++
+            // A second response inside a started one is no end.
+            ends += if (isStarted) 2 else 1
             this.status = status
             this.body = body.toString(Charsets.UTF_8)
             signature = headers["Signature"]
