--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/StreamOrigins.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/StreamOrigins.kt
@@ -18,7 +18,7 @@
  * @property number counts the records of one attempt of a caller, from 1 on.
  */
 data class RecordedOrigin(val version: String, val number: Int) {
-    /** Stored form. That of the first record is the version alone, as daemons of the release before read and write it. */
+    /** Stored form; that of the first record is the version alone, as in the release before. */
     internal val text: String get() = if (number == 1) version else "@$number@$version"
 
     internal companion object {
