--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
@@ -41,9 +41,22 @@
 
     /** Crashes in the order of their times. */
     private val crashes = ArrayList<Crash>()
-    private val respondedAt = HashMap<String, Duration>()
+
+    /** Latest responses, also to calls whose crashes may only be heard of later. */
+    private val respondedAt = object : LinkedHashMap<String, Duration>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, Duration>) = size > MAX_RESPONSES
+    }
+
+    /** Calls of which a peer reported a crash that is older than a response to them. */
+    private val contested = HashSet<String>()
     private val countsOfPeers = HashMap<String, CountOfPeer>()
 
+    /** Ages in milliseconds of responses that a peer does not know, by fingerprint. */
+    val responses: Map<String, Long>
+        get() = contested.take(MAX_REPORTED).mapNotNull { call ->
+            respondedAt[call]?.let { call to (clock.now() - it).inWholeMilliseconds }
+        }.toMap()
+
     /** Whether calls with [fingerprint] are to be refused. */
     fun isBlocked(fingerprint: String): Boolean =
         count(fingerprint) >= BLOCKING_CRASHES ||
@@ -55,19 +68,23 @@
         crashOf(endpoint, clock.now()).calls += fingerprint
     }
 
-    /** Clears [fingerprint] of the crashes so far, after a response. */
-    fun recordResponse(fingerprint: String) {
-        if (crashes.any { fingerprint in it.calls }) respondedAt[fingerprint] = clock.now()
-        crashes.forEach { it.calls -= fingerprint }
+    /** Clears [fingerprint] of the crashes up to [at], the time of a response. */
+    fun recordResponse(fingerprint: String, at: Duration = clock.now()) {
+        if (at <= (respondedAt[fingerprint] ?: -Duration.INFINITE)) return
+        respondedAt[fingerprint] = at
+        val cleared = crashes.filter { it.at <= at && fingerprint in it.calls }
+        cleared.forEach { it.calls -= fingerprint }
+        if (cleared.isNotEmpty()) contested += fingerprint
         crashes.removeIf { it.calls.isEmpty() }
         countsOfPeers.remove(fingerprint)
     }
 
     /**
      * Merges what a peer reports. Peers of the release before report only [counts], of which the highest one applies;
-     * they are not passed on.
+     * they are not passed on. [responses] are ages of responses in milliseconds by fingerprint.
      */
-    fun merge(reports: List<CrashReport>, counts: Map<String, Int>) {
+    fun merge(reports: List<CrashReport>, counts: Map<String, Int>, responses: Map<String, Long> = emptyMap()) {
+        responses.forEach { (fingerprint, age) -> recordResponse(fingerprint, clock.now() - age.milliseconds) }
         if (reports.isEmpty()) {
             counts.forEach { (fingerprint, count) ->
                 if (count > (countsOfPeers[fingerprint]?.count ?: 0)) {
@@ -77,7 +94,8 @@
         }
         reports.forEach { report ->
             val at = clock.now() - report.ageMillis.milliseconds
-            val calls = report.calls.filter { at > (respondedAt[it] ?: -Duration.INFINITE) }
+            val (calls, answered) = report.calls.partition { at > (respondedAt[it] ?: -Duration.INFINITE) }
+            contested += answered
             if (calls.isNotEmpty()) crashOf(report.endpoint, at).calls += calls
         }
     }
@@ -117,6 +135,7 @@
         val oldest = clock.now() - RETENTION
         countsOfPeers.values.removeIf { it.at < oldest }
         respondedAt.values.removeIf { it < oldest - RETENTION }
+        contested.removeIf { it !in respondedAt }
         val recent = crashes.filter { it.at >= oldest }.flatMap { it.calls }.toSet()
         crashes.removeIf { crash -> crash.at < oldest && crash.calls.none { it in recent } }
     }
@@ -133,6 +152,9 @@
         /** Time after a call's latest crash at which it is forgotten; callers that retry it do so within a minute. */
         val RETENTION = 60.seconds
 
+        /** Maximum number of responses that are remembered. */
+        const val MAX_RESPONSES = 4096
+
         /** Maximum number of fingerprints in one heartbeat. */
         const val MAX_REPORTED = 16
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -94,6 +94,7 @@
             uses = rateLimiter.usage(isComplete) { source -> forwards(source.daemon, source.isRelay) },
             crashes = poisonCalls.counts(),
             crashReports = poisonCalls.reports(),
+            responses = poisonCalls.responses,
             programs = activity.changesSince(told) { name -> isForwardedProgram(name, forwards) },
             isUsageComplete = isComplete,
             rates = directory.recentRates(
@@ -120,7 +121,7 @@
             rateLimiter.applyPeerUsage(report) { config?.accounts?.get(it) }
             activity.applyPeerCounts(heartbeat.from, heartbeat.programs)
         }
-        poisonCalls.merge(heartbeat.crashReports, heartbeat.crashes)
+        poisonCalls.merge(heartbeat.crashReports, heartbeat.crashes, heartbeat.responses)
         // A peer with a newer configuration version confirms that version, not the one in force here.
         val confirmation = peer.storeContact()?.takeIf { it.configVersion <= (config?.version ?: -1) }
         if (confirmation != null) contact.confirm(confirmation.confirmedAt)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -63,6 +63,7 @@
  * @property rates recent observations of the rates that endpoints name.
  * @property to incarnation of the receiver to which the sender addresses this message; -1 from older releases.
  * @property crashReports recent crashes of endpoints with the calls that were in work there.
+ * @property responses ages in milliseconds of responses to calls in such crashes, by request fingerprint.
  */
 @Serializable
 data class Heartbeat(
@@ -89,6 +90,7 @@
     val demand: Map<String, Double> = emptyMap(),
     val rates: List<RateReport> = emptyList(),
     val crashReports: List<CrashReport> = emptyList(),
+    val responses: Map<String, Long> = emptyMap(),
     val to: Long = -1,
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/PoisonCallDetectorTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/PoisonCallDetectorTest.kt
@@ -122,6 +122,31 @@
         assertFalse(peer.isBlocked("call"))
     }
 
+    /** Guards against a call that is refused for a minute because its responses at other daemons are not known. */
+    @Test
+    fun `responses at a peer clear the crashes at this daemon`() {
+        repeat(3) { crash ->
+            detector.recordCrash("call", "e$crash")
+            clock.advance(1.seconds)
+            peer.recordResponse("call")
+            exchange(detector, peer)
+            clock.advance(1.seconds)
+            detector.merge(peer.reports(), peer.counts(), peer.responses)
+        }
+        assertFalse(detector.isBlocked("call"))
+        assertTrue(detector.reports().isEmpty())
+    }
+
+    @Test
+    fun `a crash that a peer reports after a response to the call does not count`() {
+        detector.recordCrash("call", "e1")
+        val reports = detector.reports()
+        clock.advance(1.seconds)
+        peer.recordResponse("call")
+        peer.merge(reports.map { it.copy(ageMillis = 1_000) }, emptyMap())
+        assertTrue(peer.reports().isEmpty())
+    }
+
     @Test
     fun `reported crashes are merged and expire although the peers repeat them`() {
         repeat(3) { detector.recordCrash("call", "e$it") }
