--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
@@ -42,7 +42,7 @@
     /** Crashes in the order of their times. */
     private val crashes = ArrayList<Crash>()
 
-    /** Latest responses, also to calls whose crashes may only be heard of later. */
+    /** Latest responses, oldest first, also to calls whose crashes may only be heard of later. */
     private val respondedAt = object : LinkedHashMap<String, Duration>() {
         override fun removeEldestEntry(eldest: Map.Entry<String, Duration>) = size > MAX_RESPONSES
     }
@@ -71,6 +71,7 @@
     /** Clears [fingerprint] of the crashes up to [at], the time of a response. */
     fun recordResponse(fingerprint: String, at: Duration = clock.now()) {
         if (at <= (respondedAt[fingerprint] ?: -Duration.INFINITE)) return
+        respondedAt.remove(fingerprint)
         respondedAt[fingerprint] = at
         val cleared = crashes.filter { it.at <= at && fingerprint in it.calls }
         cleared.forEach { it.calls -= fingerprint }
@@ -134,7 +135,9 @@
     private fun removeExpired() {
         val oldest = clock.now() - RETENTION
         countsOfPeers.values.removeIf { it.at < oldest }
-        respondedAt.values.removeIf { it < oldest - RETENTION }
+        // Called for each heartbeat, so it must not look at all responses.
+        val responses = respondedAt.values.iterator()
+        while (responses.hasNext() && responses.next() < oldest - RETENTION) responses.remove()
         contested.removeIf { it !in respondedAt }
         val recent = crashes.filter { it.at >= oldest }.flatMap { it.calls }.toSet()
         crashes.removeIf { crash -> crash.at < oldest && crash.calls.none { it in recent } }
