Log how many reads and bytes the response to a call had

The log names neither, so a response that was interrupted and went on with other bytes looked like any other. call-answered, call-streamed and call-broken name the number of reads (call-answered the bytes too): a response of one read was not interrupted, so the hypothesis of a body that is filled up later is ruled out for it. No logic changes.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -92,6 +92,10 @@
     /** Number of the connection that carried the attempt; null before it was sent. */
     var connectionNumber: Long? = null
         internal set
+
+    /** Number of reads in which the response arrived; a response of one read was not interrupted. */
+    val reads: Int get() = connection?.reads ?: endedReads
+    internal var endedReads = 0
     internal var isCancelled = false
 
     /** Closes the attempt's connection, so that the endpoint aborts the call. */
@@ -236,6 +240,7 @@
         }
 
         override fun onEnd() {
+            attempt.endedReads = connection.reads
             pool.release(connection)
             attempt.connection = null
             val refused = refusedStatus
@@ -243,6 +248,7 @@
         }
 
         override fun onFailure(reason: String) {
+            attempt.endedReads = connection.reads
             attempt.connection = null
             val refused = refusedStatus
             if (refused != null) attempt.handler.notExecuted(refused) else attempt.handler.broken(reason)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -159,14 +159,15 @@
     private fun giveUp(reason: String, retryAfter: Duration? = null) =
         if (runs == 0) response.refuse(UNAVAILABLE, reason, retryAfter) else response.fail(BAD_GATEWAY, reason)
 
-    private fun endStream(endpoint: Endpoint, connection: Long?) {
+    private fun endStream(endpoint: Endpoint, arrival: Arrival) {
         response.log(
             "streamed",
             "endpoint" to endpoint.id,
             "version" to endpoint.version,
             "events" to turn.events,
             "sends" to sends,
-            "connection" to connection,
+            "connection" to arrival.connection,
+            "reads" to arrival.reads,
         )
         when {
             !response.isStarted -> response.fail(BAD_GATEWAY, "stream without events")
@@ -186,6 +187,9 @@
         services.dispatcher.assignWaiting()
     }
 
+    /** The connection on which a response arrived and the number of reads that it took; null if it was given up. */
+    private class Arrival(val connection: Long?, val reads: Int?)
+
     /** Handles the events of one attempt at the endpoint of [state]. */
     private inner class AttemptOutcome(private val state: EndpointState) : AttemptHandler {
         private val responseBuffer = ResponseBuffer(route.kind == RouteKind.STREAM) { head, event ->
@@ -257,12 +261,12 @@
                 }
                 else -> {
                     val timePerEvent = took / turn.events.coerceAtLeast(1)
-                    val connection = attempt?.connectionNumber
+                    val arrival = Arrival(attempt?.connectionNumber, attempt?.reads)
                     state.recordSuccess(services.latencyBaseline.relative(route.name, timePerEvent))
                     services.poisonCalls.recordResponse(call.fingerprint)
                     attemptEnded(wasRun = true)
                     services.dispatcher.completed(call.service, took)
-                    complete(head, connection)
+                    complete(head, arrival)
                 }
             }
         }
@@ -281,15 +285,16 @@
                 "reason" to reason,
                 "events" to turn.events,
                 "connection" to attempt?.connectionNumber,
+                "reads" to attempt?.reads,
             )
             attemptEnded(wasRun = true)
             retryOrGiveUp(reason)
         }
 
-        private fun complete(head: ResponseHead, connection: Long?) {
+        private fun complete(head: ResponseHead, arrival: Arrival) {
             if (response.isDone) return
             if (responseBuffer.isStream) {
-                endStream(state.endpoint, connection)
+                endStream(state.endpoint, arrival)
             } else if (response.isStarted) {
                 response.fail(BAD_GATEWAY, "endpoint ${state.endpoint.id} answered ${head.status} to a started stream")
             } else {
@@ -298,7 +303,9 @@
                     "endpoint" to state.endpoint.id,
                     "status" to head.status,
                     "sends" to sends,
-                    "connection" to connection,
+                    "connection" to arrival.connection,
+                    "reads" to arrival.reads,
+                    "bytes" to responseBuffer.heldBytes,
                 )
                 response.sendComplete(head, responseBuffer.body())
             }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -57,6 +57,9 @@
     /** Whether a request waits for its response. */
     val isBusy: Boolean get() = matcher.isBusy
 
+    /** Number of reads in which the latest response arrived. */
+    val reads: Int get() = matcher.reads
+
     private val matcher = ResponseMatcher()
     private var listener: ResponseListener? = null
     private var isWritten = true
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
@@ -15,6 +15,11 @@
     HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES) {
     private var isInputShutDown = false
 
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        matcher.readStarted()
+        super.channelRead(context, message)
+    }
+
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (buffer.isReadable) matcher.bytesArrived(buffer.getByte(buffer.readerIndex()))
         super.decode(context, buffer, out)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -75,6 +75,10 @@
     /** Whether the response is complete, but not all bytes that came with it have been looked at. */
     val isEnded: Boolean get() = state == State.ENDED
 
+    /** Number of reads from the connection since the request was sent, up to the one with the end of its response. */
+    var reads = 0
+        private set
+
     /** Whether a request may be sent. */
     val isReusable: Boolean get() = state == State.IDLE && !isTainted
 
@@ -87,6 +91,12 @@
         isAtStart = true
         skippedHeads = 0
         skippedBytes = 0
+        reads = 0
+    }
+
+    /** Called when bytes have been read from the connection, before any of them is decoded. */
+    fun readStarted() {
+        if (isBusy) reads++
     }
 
     /** Called before bytes are decoded, of which [first] is the first one. */
