Break off a response whose body is completed by another response

Cause: a body counted as whole because enough bytes had come. What tells the two apart was not looked at: where reads from the connection begin, heads inside the body, and what follows the body.

Change, docs/decisions/response-matching.md: InterruptionDetector breaks a response off if a read begins with a status line inside its body, if a head with an id stands in it, if the body ends inside a head that goes on behind it (waiting 20 ms when nothing has followed yet), or if noise follows in the read that ended a body of several reads. Replies of servers without ids (the platform's store) may hold no status line.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -116,16 +117,20 @@
     private fun readContent(content: HttpContent) {
         val current = listener ?: return
         val data = content.content()
-        if (matcher.bodyArrived(data.readableBytes())) {
-            if (data.isReadable) current.onData(data)
-        } else if (matcher.hasSkippedTooMuch) {
-            fail("responses to other requests without end")
+        when (matcher.bodyArrived(data)) {
+            BodyVerdict.OWN -> if (data.isReadable) current.onData(data)
+            BodyVerdict.UNMATCHED -> if (matcher.hasSkippedTooMuch) fail("responses to other requests without end")
+            BodyVerdict.INTERRUPTED -> fail(INTERRUPTED)
         }
         // The listener may have aborted the exchange in onData.
         if (content is LastHttpContent && listener === current && matcher.endArrived()) {
             if (!isWritten) matcher.taint()
             // Bytes behind the response, and the end of the connection, may have arrived together with it.
-            channel.eventLoop().execute(::deliverEnd)
+            if (matcher.mayBeInterrupted) {
+                channel.eventLoop().schedule(::deliverEnd, NEXT_BYTES_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+            } else {
+                channel.eventLoop().execute(::deliverEnd)
+            }
         }
     }
 
@@ -135,7 +140,12 @@
         val current = listener
         listener = null
         matcher.requestDone()
-        current?.onEnd()
+        if (matcher.isInterrupted) {
+            channel.close()
+            current?.onFailure(INTERRUPTED)
+        } else {
+            current?.onEnd()
+        }
     }
 
     private fun fail(reason: String) {
@@ -189,6 +199,10 @@
 
     companion object {
         private val lastNumber = AtomicLong()
+        private const val INTERRUPTED = "another response inside the body"
+
+        /** Time in which the rest of a response arrives that may have begun with the last bytes of a body. */
+        private const val NEXT_BYTES_WAIT_MILLIS = 20L
 
         /** A host in the same region accepts within milliseconds; a lost SYN would be retransmitted only after 1 s. */
         val CONNECT_TIMEOUT: Duration = 400.milliseconds
--- /dev/null
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
@@ -0,0 +1,87 @@
+package io.jasmineford.gateway.http
+
+import io.netty.buffer.ByteBuf
+
+/**
+ * Finds the head of another response inside the body of a response: a server that stopped in the body went on with its
+ * next response, whose bytes would fill the body up to its length.
+ *
+ * A body may quote a response. A status line is therefore taken for the start of another response only
+ *
+ * - where a read from the connection begins with it, as bytes that were sent later do, or
+ * - if header lines with the [idHeader] follow it, or the body ends before the head does and more bytes follow, or
+ * - in any place if [idHeader] is null: the server has no ids, and its bodies are JSON, which holds no status line.
+ */
+internal class InnerHeadDetector(private val idHeader: String?) {
+    private var matched = 0
+    private var startsRead = false
+    private var isAtReadStart = false
+    private var isInHead = false
+    private var isStatusLine = false
+    private val line = StringBuilder()
+
+    /** Whether the body ended inside something that reads as the head of a response. */
+    val isOpen: Boolean get() = isInHead || (startsRead && matched > 0) || matched >= MIN_PREFIX
+
+    /** Called when bytes have been read from the connection, before they are passed to [finds]. */
+    fun readStarted() {
+        isAtReadStart = true
+    }
+
+    /** Whether the body, of which [part] is the next part, holds the head of another response. */
+    fun finds(part: ByteBuf): Boolean = part.forEachByte { byte -> !findsAt(byte) } >= 0
+
+    /** Whether the body ended inside the head of another response that goes on with [behind], the bytes after it. */
+    fun findsBehind(behind: ByteBuf): Boolean {
+        if (isInHead) return true
+        val missing = STATUS_LINE.size - matched
+        val isContinued = behind.readableBytes() >= missing &&
+            (0 until missing).all { STATUS_LINE[matched + it].accepts(behind.getByte(behind.readerIndex() + it)) }
+        return matched > 0 && isContinued
+    }
+
+    private fun findsAt(byte: Byte): Boolean {
+        val isFirstOfRead = isAtReadStart
+        isAtReadStart = false
+        if (isInHead && endsIdLine(byte)) return true
+        if (!STATUS_LINE[matched].accepts(byte)) matched = 0
+        if (!STATUS_LINE[matched].accepts(byte)) return false
+        if (matched++ == 0) startsRead = isFirstOfRead
+        if (matched < STATUS_LINE.size) return false
+        matched = 0
+        isInHead = true
+        isStatusLine = true
+        line.clear()
+        return startsRead || idHeader == null
+    }
+
+    /** Whether [byte], inside the lines from a status line on, ends a header line with an id. */
+    private fun endsIdLine(byte: Byte): Boolean {
+        if (byte != LINE_FEED) {
+            line.append(byte.toInt().toChar())
+            isInHead = line.length <= MAX_LINE
+            return false
+        }
+        val name = "$line".substringBefore(':', missingDelimiterValue = "")
+        line.clear()
+        isInHead = isStatusLine || name.isNotEmpty()
+        isStatusLine = false
+        return name.equals(idHeader, ignoreCase = true)
+    }
+
+    private fun interface Expected {
+        fun accepts(byte: Byte): Boolean
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+
+        /** Characters of a status line with which a body ends more often than one would by chance. */
+        const val MIN_PREFIX = 5
+        const val MAX_LINE = 8192
+
+        val DIGIT = Expected { it in '0'.code..'9'.code }
+        val STATUS_LINE: List<Expected> = "HTTP/1.".map { char -> Expected { it.toInt() == char.code } } +
+            DIGIT + Expected { it.toInt() == ' '.code } + DIGIT + DIGIT + DIGIT
+    }
+}
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
@@ -12,7 +13,7 @@
  * any other end of the connection breaks it off.
  */
 internal class ResponseDecoder(private val matcher: ResponseMatcher) :
-    HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES) {
+    HttpResponseDecoder(DECODER_CONFIG) {
     private var isInputShutDown = false
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -21,7 +22,7 @@
     }
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
-        if (buffer.isReadable) matcher.bytesArrived(buffer.getByte(buffer.readerIndex()))
+        if (buffer.isReadable) matcher.bytesArrived(buffer)
         super.decode(context, buffer, out)
     }
 
@@ -44,5 +45,10 @@
         const val MAX_LINE_BYTES = 8192
         const val MAX_HEADER_BYTES = 65_536
         const val MAX_CHUNK_BYTES = 65_536
+
+        val DECODER_CONFIG: HttpDecoderConfig = HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
@@ -47,12 +48,25 @@
     data class Invalid(val reason: String) : HeadVerdict
 }
 
+/** To which request a part of a body belongs. */
+enum class BodyVerdict {
+    /** A part of the response to the request in flight. */
+    OWN,
+
+    /** A part of a response that is skipped. */
+    UNMATCHED,
+
+    /** The response to the request in flight has stopped, and another one has begun in its place. */
+    INTERRUPTED,
+}
+
 /**
  * Decides which bytes of a connection belong to its request; without I/O.
  *
  * A response belongs to the request in flight if it starts after the request was sent and bears the request's id, once.
  * The id names a call, not one of its sendings, so a call must not go twice over one connection. Each byte outside the
- * responses to a request, before it is sent or after its response has ended, makes the connection unusable. See
+ * responses to a request, before it is sent or after its response has ended, makes the connection unusable. A body is not
+ * complete because it is as long as announced: the bytes of another response may have filled it. See
  * `docs/decisions/response-matching.md`.
  */
 class ResponseMatcher {
@@ -64,6 +78,10 @@
     private var isAtStart = false
     private var skippedHeads = 0
     private var skippedBytes = 0L
+    private var readNumber = 0
+    private var sentRead = 0
+    private var endRead = 0
+    private var interruption: InterruptionDetector? = null
 
     /** Whether the connection has carried bytes that belong to no request, or must not be used again otherwise. */
     var isTainted = false
@@ -76,9 +94,15 @@
     val isEnded: Boolean get() = state == State.ENDED
 
     /** Number of reads from the connection since the request was sent, up to the one with the end of its response. */
-    var reads = 0
+    val reads: Int get() = (if (isBusy) readNumber else endRead) - sentRead
+
+    /** Whether bytes of another response may have filled the body of the one that has ended. */
+    var isInterrupted = false
         private set
 
+    /** Whether the next bytes decide whether the response that has ended is interrupted. */
+    val mayBeInterrupted: Boolean get() = interruption?.dependsOnNextBytes == true
+
     /** Whether a request may be sent. */
     val isReusable: Boolean get() = state == State.IDLE && !isTainted
 
@@ -91,18 +115,23 @@
         isAtStart = true
         skippedHeads = 0
         skippedBytes = 0
-        reads = 0
+        sentRead = readNumber
+        interruption = null
+        isInterrupted = false
     }
 
     /** Called when bytes have been read from the connection, before any of them is decoded. */
     fun readStarted() {
-        if (isBusy) reads++
+        readNumber++
+        interruption?.readStarted()
     }
 
-    /** Called before bytes are decoded, of which [first] is the first one. */
-    fun bytesArrived(first: Byte) {
-        if (!isBusy || (isAtStart && first != FIRST_BYTE)) isTainted = true
+    /** Called before [bytes] are decoded, at least one. */
+    fun bytesArrived(bytes: ByteBuf) {
+        val isInvalidStart = isAtStart && bytes.getByte(bytes.readerIndex()) != FIRST_BYTE
+        if (!isBusy || isInvalidStart) isTainted = true
         isAtStart = false
+        if (isEnded && interruption?.isInterruptedBehind(bytes, readNumber, endRead) == true) isInterrupted = true
     }
 
     /** Excludes the connection from further use. */
@@ -118,7 +147,10 @@
     fun headArrived(head: HttpResponse): HeadVerdict {
         val verdict = if (isBusy) verdictOf(head, identity) else HeadVerdict.Unmatched
         when (verdict) {
-            is HeadVerdict.Own -> state = State.RECEIVING
+            is HeadVerdict.Own -> {
+                state = State.RECEIVING
+                interruption = InterruptionDetector(head, identity?.idHeader, headRead = readNumber)
+            }
             is HeadVerdict.Interim -> state = State.SKIPPING
             is HeadVerdict.Unmatched -> {
                 isTainted = true
@@ -131,10 +163,13 @@
         return verdict
     }
 
-    /** Called for [bytes] of a body; whether they belong to the request. */
-    fun bodyArrived(bytes: Int): Boolean {
-        if (state != State.RECEIVING) skippedBytes += bytes
-        return state == State.RECEIVING
+    /** Called for each [part] of a body. */
+    fun bodyArrived(part: ByteBuf): BodyVerdict {
+        if (state != State.RECEIVING) {
+            skippedBytes += part.readableBytes()
+            return BodyVerdict.UNMATCHED
+        }
+        return if (interruption?.isInterruptedBy(part) == true) BodyVerdict.INTERRUPTED else BodyVerdict.OWN
     }
 
     /** Whether more bytes were skipped than a response to another request has. */
@@ -144,6 +179,7 @@
     fun endArrived(): Boolean {
         val isOwn = state == State.RECEIVING
         isAtStart = true
+        endRead = readNumber
         state = when (state) {
             State.RECEIVING -> State.ENDED
             State.SKIPPING -> State.AWAITING
@@ -157,15 +193,15 @@
         state = State.IDLE
     }
 
-    private companion object {
+    internal companion object {
         /** Each response begins with its version; the decoder skips white space before it. */
         const val FIRST_BYTE = 'H'.code.toByte()
 
         /** Responses that are skipped while a request waits; a faulty server may send them without end. */
-        const val MAX_SKIPPED_HEADS = 32
+        private const val MAX_SKIPPED_HEADS = 32
 
         /** Bytes of bodies that are skipped while a request waits, as many as a response may have. */
-        const val MAX_SKIPPED_BYTES = 1024 * 1024L
+        private const val MAX_SKIPPED_BYTES = 1024 * 1024L
     }
 }
 
