Break off a stream that is taken up without an event, or with something else than events

Cause: a stream counted as whole because some response came to its end. Blocks without a field of an event were dropped silently, the content type was not read, and an end without events was taken for the end of the stream.

Change: a stream that has started needs an event from the endpoint that takes it up; a success with another content type, and lines that are neither fields nor comments, break the attempt off. It then goes on at another endpoint if the route allows it, or is cut off.

What it costs: a stream that lost only its end is cut off; nothing tells it from one that lost events too.

Evidence: StartedResponseTest, 2 of 11 failed before, 0 now. EventStreamReaderTest 3 of 3 as before.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -25,8 +25,13 @@
 class ResponseHead(val status: Int, val headers: HttpHeaders) {
     /** Whether the call succeeded. */
     val isSuccess: Boolean get() = status in SUCCESS
+
+    /** Whether the body may be a stream of events: it is one, or its type is not given. */
+    val mayHaveEvents: Boolean
+        get() = headers[HttpHeaderNames.CONTENT_TYPE]?.trim()?.startsWith(EVENT_STREAM, ignoreCase = true) != false
 }
 
+private const val EVENT_STREAM = "text/event-stream"
 private const val FIRST_SUCCESS = 200
 private const val LAST_SUCCESS = 299
 private val SUCCESS = FIRST_SUCCESS..LAST_SUCCESS
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
@@ -21,6 +21,10 @@
     private val pending = ByteArrayOutputStream()
     private var isLineEmpty = true
 
+    /** Whether the stream holds lines that no event stream has; what follows them is not read. */
+    var isInvalid = false
+        private set
+
     /** Whether a partial event is buffered. */
     val hasPartial: Boolean get() = pending.size() > 0
 
@@ -29,7 +33,7 @@
 
     /** Consumes [data] and passes each completed event to [onEvent]; events without id and data are dropped. */
     fun read(data: ByteBuf, onEvent: (StreamEvent) -> Unit) {
-        while (data.isReadable) {
+        while (data.isReadable && !isInvalid) {
             val byte = data.readByte().toInt()
             pending.write(byte)
             when {
@@ -46,7 +50,10 @@
         isLineEmpty = true
         val lines = String(bytes, Charsets.UTF_8).lines()
         val isEvent = lines.any { it.startsWith(DATA) || it.startsWith(ID) }
-        if (!isEvent) return
+        if (!isEvent) {
+            isInvalid = lines.any { it.isNotEmpty() && !COMMENT_OR_FIELD.containsMatchIn(it) }
+            return
+        }
         val id = lines.lastOrNull { it.startsWith(ID) }?.field(ID)
         val text = lines.filter { it.startsWith(DATA) }.joinToString("\n") { it.field(DATA) }
         onEvent(StreamEvent(bytes, id, text))
@@ -59,5 +66,7 @@
         const val CARRIAGE_RETURN = '\r'.code
         const val DATA = "data:"
         const val ID = "id:"
+
+        val COMMENT_OR_FIELD = Regex("^[A-Za-z0-9_-]*:")
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -192,6 +192,7 @@
 
     /** Handles the events of one attempt at the endpoint of [state]. */
     private inner class AttemptOutcome(private val state: EndpointState) : AttemptHandler {
+        private val eventsBefore = turn.events
         private val responseBuffer = ResponseBuffer(route.kind == RouteKind.STREAM) { head, event ->
             if (!response.isDone) {
                 streamVersion = state.endpoint.version
@@ -222,8 +223,9 @@
         override fun head(head: ResponseHead) {
             val isOtherSuccess = head.isSuccess && response.isStarted && head.status != response.startedStatus
             if (isOtherSuccess) {
-                attempt?.cancel()
-                broken("success ${head.status} after a stream of ${response.startedStatus}")
+                cutOff("success ${head.status} after a stream of ${response.startedStatus}")
+            } else if (route.kind == RouteKind.STREAM && head.isSuccess && !head.mayHaveEvents) {
+                cutOff("success with another content than events")
             } else {
                 responseBuffer.onHead(head)
             }
@@ -234,9 +236,10 @@
             // The call ends when its caller is cut off while an event is passed on.
             if (attempt == null) return
             val heldBytes = responseBuffer.heldBytes + turn.outputBytes
-            if (heldBytes > MAX_HELD_BYTES) {
-                attempt?.cancel()
-                broken("response holds more than $MAX_HELD_BYTES bytes")
+            if (responseBuffer.isInvalid) {
+                cutOff("bytes that are no event")
+            } else if (heldBytes > MAX_HELD_BYTES) {
+                cutOff("response holds more than $MAX_HELD_BYTES bytes")
             } else {
                 memory.hold(heldBytes.toLong())
             }
@@ -248,6 +251,9 @@
             val head = responseBuffer.head
             when {
                 head == null || responseBuffer.endsInsideEvent -> broken("answer ended inside an event")
+                // The events that the stream still had are unknown: another endpoint that has none may be wrong.
+                responseBuffer.isStream && eventsBefore > 0 && turn.events == eventsBefore ->
+                    broken("stream was taken up without an event")
                 head.status >= SERVER_ERROR && route.isRepeatable && runs + 1 < route.maxAttempts -> {
                     state.recordFailure()
                     response.log(
@@ -271,6 +277,12 @@
             }
         }
 
+        /** Closes the connection of a response that can't be passed on. */
+        private fun cutOff(reason: String) {
+            attempt?.cancel()
+            broken(reason)
+        }
+
         override fun broken(reason: String) {
             state.recordFailure()
             if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint, state.endpoint.id)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ResponseBuffer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ResponseBuffer.kt
@@ -22,6 +22,9 @@
     /** Whether the response is passed on event by event. */
     val isStream: Boolean get() = mayStream && head?.isSuccess == true
 
+    /** Whether the response is a stream that holds other bytes than events. */
+    val isInvalid: Boolean get() = isStream && reader.isInvalid
+
     /** Whether the stream has stopped inside an event. */
     val endsInsideEvent: Boolean get() = isStream && reader.hasPartial
 
