Break off a stream whose endpoint sends events again that its caller has

An endpoint that takes up a stream and begins it anew, or a copy of an earlier part of it inside the response, would be passed on: pieces of a stream twice (ORDER).

Change: on resumable routes the ids of events, where they are numbers, have to increase, from the last one that this attempt or the caller (Last-Event-Id) has; else the attempt is broken off and may go on elsewhere.

Evidence: StartedResponseTest 'a started stream is cut off when it begins again' and EventStreamReaderTest 'an event that comes again ends the stream's events' are new; the first one's endpoint got its event 1 passed on twice before (read, not run on the old code).

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
@@ -16,12 +16,18 @@
     val data: String,
 )
 
-/** Incremental parser of a `text/event-stream`; a partial event is buffered until its end arrives. */
-class EventStreamReader {
+/**
+ * Incremental parser of a `text/event-stream`; a partial event is buffered until its end arrives.
+ *
+ * @param after id behind which the stream goes on: the ids of its events have to increase from there. Null if the ids
+ * are not compared; those that are no numbers never are.
+ */
+class EventStreamReader(after: Long? = null) {
+    private var lastId = after
     private val pending = ByteArrayOutputStream()
     private var isLineEmpty = true
 
-    /** Whether the stream holds lines that no event stream has; what follows them is not read. */
+    /** Whether the stream holds lines that no event stream has, or an event again; what follows is not read. */
     var isInvalid = false
         private set
 
@@ -55,10 +61,19 @@
             return
         }
         val id = lines.lastOrNull { it.startsWith(ID) }?.field(ID)
+        isInvalid = !isInOrder(id?.toLongOrNull())
+        if (isInvalid) return
         val text = lines.filter { it.startsWith(DATA) }.joinToString("\n") { it.field(DATA) }
         onEvent(StreamEvent(bytes, id, text))
     }
 
+    private fun isInOrder(id: Long?): Boolean {
+        val last = lastId
+        if (last == null || id == null) return true
+        lastId = id
+        return id > last
+    }
+
     private fun String.field(name: String) = removePrefix(name).removePrefix(" ")
 
     private companion object {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -193,7 +193,7 @@
     /** Handles the events of one attempt at the endpoint of [state]. */
     private inner class AttemptOutcome(private val state: EndpointState) : AttemptHandler {
         private val eventsBefore = turn.events
-        private val responseBuffer = ResponseBuffer(route.kind == RouteKind.STREAM) { head, event ->
+        private val responseBuffer = ResponseBuffer(route.kind == RouteKind.STREAM, turn.goesOnBehind) { head, event ->
             if (!response.isDone) {
                 streamVersion = state.endpoint.version
                 turn.recordEvent(event)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ResponseBuffer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ResponseBuffer.kt
@@ -7,12 +7,14 @@
  * Receives an endpoint's response: passes on the events of a successful stream and buffers any other body.
  *
  * @param mayStream whether a successful response is a stream of events.
+ * @param after id behind which the stream goes on; null if the ids of its events are not compared.
  */
 internal class ResponseBuffer(
     private val mayStream: Boolean,
+    after: Long?,
     private val onEvent: (ResponseHead, StreamEvent) -> Unit,
 ) {
-    private val reader = EventStreamReader()
+    private val reader = EventStreamReader(after)
     private val buffered = Unpooled.buffer()
 
     /** Status and headers; null before they have arrived. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnSession.kt
@@ -34,6 +34,13 @@
     var lastEventId: String? = null
         private set
 
+    /** Number of the last event that the caller of a resumable stream has; null if ids can't be compared. */
+    val goesOnBehind: Long?
+        get() {
+            val last = lastEventId ?: call.request.headers[LAST_EVENT_ID] ?: BEFORE_FIRST_EVENT
+            return last.toLongOrNull().takeIf { call.route.isResumable }
+        }
+
     /** Size of the output that is kept to be stored. */
     val outputBytes: Int get() = output.size()
 
@@ -108,6 +115,7 @@
 
         /** Standard header of server-sent events. */
         private const val LAST_EVENT_ID = "Last-Event-Id"
+        private const val BEFORE_FIRST_EVENT = "-1"
 
         /** Minimum interval between attempts to store a turn. */
         private val STORE_RETRY = 200.milliseconds
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EventStreamReaderTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EventStreamReaderTest.kt
@@ -21,6 +21,22 @@
         assertEquals("one two", events.single().data)
     }
 
+    @Test
+    fun `text that is no event ends the stream's events`() {
+        read("data: a\n\n: comment\n\nretry: 3\n\nHTTP/1.1 500 Oh\r\nServer: x\r\n\r\ndata: b\n\n")
+        assertEquals(listOf("a"), events.map { it.data })
+        assertTrue(reader.isInvalid)
+    }
+
+    @Test
+    fun `an event that comes again ends the stream's events`() {
+        val resumed = EventStreamReader(after = 2)
+        val text = "id: 3\ndata: a\n\nid: x\ndata: b\n\ndata: c\n\nid: 3\ndata: d\n\nid: 4\ndata: e\n\n"
+        resumed.read(Unpooled.copiedBuffer(text, Charsets.UTF_8), events::add)
+        assertEquals(listOf("a", "b", "c"), events.map { it.data })
+        assertTrue(resumed.isInvalid)
+    }
+
     @Test
     fun `a partial event is buffered`() {
         read("data: a\n\ndata: b")
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StartedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/StartedResponseTest.kt
@@ -65,6 +65,12 @@
         assertEquals(List(3) { CUT_OFF }, listOf(text, textBehindEvent, otherType).map { outcomeOf(it) })
     }
 
+    @Test
+    fun `a started stream is cut off when it begins again`() {
+        val again = "${HEAD}f\r\n$EVENT_1\r\nf\r\n$EVENT_2\r\n$LAST_CHUNK"
+        assertEquals(CUT_OFF, outcomeOf(again))
+    }
+
     @Test
     fun `a stream may name the type of its content`() {
         val types = listOf("text/event-stream", "Text/Event-Stream; charset=utf-8")
