--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -221,13 +221,19 @@
         }
 
         override fun head(head: ResponseHead) {
-            val isOtherSuccess = head.isSuccess && response.isStarted && head.status != response.startedStatus
-            if (isOtherSuccess) {
-                cutOff("success ${head.status} after a stream of ${response.startedStatus}")
-            } else if (route.kind == RouteKind.STREAM && head.isSuccess && !head.mayHaveEvents) {
-                cutOff("success with another content than events")
-            } else {
+            val started = response.startedStatus
+            val isOfStream = head.isSuccess && route.kind == RouteKind.STREAM
+            val problem = when {
+                isOfStream && started != null && head.status != started ->
+                    "success ${head.status} after a stream of $started"
+                isOfStream && !head.mayHaveEvents -> "success with another content than events"
+                else -> null
+            }
+            if (problem == null) {
                 responseBuffer.onHead(head)
+            } else {
+                attempt?.cancel()
+                broken(problem)
             }
         }
 
@@ -236,12 +242,16 @@
             // The call ends when its caller is cut off while an event is passed on.
             if (attempt == null) return
             val heldBytes = responseBuffer.heldBytes + turn.outputBytes
-            if (responseBuffer.isInvalid) {
-                cutOff("bytes that are no event")
-            } else if (heldBytes > MAX_HELD_BYTES) {
-                cutOff("response holds more than $MAX_HELD_BYTES bytes")
-            } else {
+            val problem = when {
+                responseBuffer.isInvalid -> "bytes that are no event"
+                heldBytes > MAX_HELD_BYTES -> "response holds more than $MAX_HELD_BYTES bytes"
+                else -> null
+            }
+            if (problem == null) {
                 memory.hold(heldBytes.toLong())
+            } else {
+                attempt?.cancel()
+                broken(problem)
             }
         }
 
@@ -277,12 +287,6 @@
             }
         }
 
-        /** Closes the connection of a response that can't be passed on. */
-        private fun cutOff(reason: String) {
-            attempt?.cancel()
-            broken(reason)
-        }
-
         override fun broken(reason: String) {
             state.recordFailure()
             if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint, state.endpoint.id)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
@@ -41,18 +41,23 @@
     }
 
     private fun findsAt(byte: Byte): Boolean {
+        val isIdLine = isInHead && endsIdLine(byte)
+        return isIdLine || (endsStatusLine(byte) && (startsRead || idHeader == null))
+    }
+
+    private fun endsStatusLine(byte: Byte): Boolean {
         val isFirstOfRead = isAtReadStart
         isAtReadStart = false
-        if (isInHead && endsIdLine(byte)) return true
         if (!STATUS_LINE[matched].accepts(byte)) matched = 0
-        if (!STATUS_LINE[matched].accepts(byte)) return false
-        if (matched++ == 0) startsRead = isFirstOfRead
-        if (matched < STATUS_LINE.size) return false
-        matched = 0
-        isInHead = true
-        isStatusLine = true
-        line.clear()
-        return startsRead || idHeader == null
+        if (STATUS_LINE[matched].accepts(byte) && matched++ == 0) startsRead = isFirstOfRead
+        val isStatusLineEnd = matched == STATUS_LINE.size
+        if (isStatusLineEnd) {
+            matched = 0
+            isInHead = true
+            isStatusLine = true
+            line.clear()
+        }
+        return isStatusLineEnd
     }
 
     /** Whether [byte], inside the lines from a status line on, ends a header line with an id. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -65,8 +65,8 @@
  *
  * A response belongs to the request in flight if it starts after the request was sent and bears the request's id, once.
  * The id names a call, not one of its sendings, so a call must not go twice over one connection. Each byte outside the
- * responses to a request, before it is sent or after its response has ended, makes the connection unusable. A body is not
- * complete because it is as long as announced: the bytes of another response may have filled it. See
+ * responses to a request, before it is sent or after its response has ended, makes the connection unusable. A body is
+ * not complete because it is as long as announced: the bytes of another response may have filled it. See
  * `docs/decisions/response-matching.md`.
  */
 class ResponseMatcher {
