Refuse heads that run on into any status line, and unknown transfer codings

Found by the review of the fix: a 200 that stops in a header's value, followed by a status line in a form of its own (two spaces, a tab, lower case, HTTP/2), was passed on with the body of what followed (200, end); so was one that stops inside 'chunked' and is followed by noise, as an unknown coding was read as a body up to the close of the connection.

Cause: the end of a head counted as that of its own response unless the next status line had one exact form; any transfer coding was accepted. Change: the status line is recognised in any form, and a coding other than chunked breaks the call off: callers' requests don't ask for one.

Evidence: two new tests of ResponseBoundaryTest hold; the review showed the same bytes passed on with. ResponseBoundaryTest and LengthlessResponseTest pass.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.http
 
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
@@ -215,7 +216,8 @@
     HttpResponseStatus.TOO_MANY_REQUESTS.code(),
     HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
 )
-private val STATUS_LINE = Regex("HTTP/1\\.[01] \\d{3}")
+private val STATUS_LINE = Regex("HTTP/\\d(\\.\\d)?[ \\t]+\\d{3}", RegexOption.IGNORE_CASE)
+private const val CHUNKED = "chunked"
 private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
 
 private fun verdictOf(head: HttpResponse, identity: ResponseIdentity?): HeadVerdict {
@@ -224,6 +226,8 @@
         head.protocolVersion() !in VERSIONS -> HeadVerdict.Invalid("bytes before a response")
         head.status().reasonPhrase().hasStatusLine() || head.headers().any { it.value.hasStatusLine() } ->
             HeadVerdict.Invalid("response inside the head of another one")
+        head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).any { !it.equals(CHUNKED, ignoreCase = true) } ->
+            HeadVerdict.Invalid("unknown transfer coding")
         status == HttpResponseStatus.SWITCHING_PROTOCOLS.code() -> HeadVerdict.Invalid("protocol was switched")
         status < FIRST_FINAL_STATUS -> HeadVerdict.Interim
         identity == null -> HeadVerdict.Own(ResponseMeaning.EXECUTED)
@@ -248,4 +252,4 @@
 }
 
 /** A head that was cut short runs on into the status line of the next one. */
-private fun String.hasStatusLine() = contains("HTTP/1.") && STATUS_LINE.containsMatchIn(this)
+private fun String.hasStatusLine() = contains("HTTP/", ignoreCase = true) && STATUS_LINE.containsMatchIn(this)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/ResponseBoundaryTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/ResponseBoundaryTest.kt
@@ -126,6 +126,24 @@
         }
     }
 
+    /** Guards against a success whose head runs on into a failure that is not written as others are. */
+    @Test
+    fun `a head that runs on into any form of a status line breaks the call off`() {
+        val lines = listOf("HTTP/1.1  500 Oh", "HTTP/1.1\t500 Oh", "http/1.1 500 Oh", "HTTP/2 500", "HTTP/1.0 500")
+        lines.forEach { line ->
+            val head = "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\nX: $line\r\nContent-Length: 2\r\n\r\nno"
+            val outcome = ResponseBoundaryTest().outcomeOf(head)
+            assertTrue(outcome.startsWith("failed"), "$line: $outcome")
+        }
+    }
+
+    /** Guards against a head that stopped inside the name of its coding, whose body would end with the connection. */
+    @Test
+    fun `a response in an unknown transfer coding breaks the call off`() {
+        val head = "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s\r\nTransfer-Encoding: chunknoise\r\n\r\nnoise"
+        assertEquals("failed: unknown transfer coding", outcomeOf(head))
+    }
+
     @Test
     fun `a header may name a version of the protocol`() {
         val named = OWN.replace("Signature", "Server: FastHTTP/1.1 (200)\r\nSignature")
