Tell where a read begins from where a part of a body begins

A body that quotes responses in chunks lost a sound success each time.

Cause: the detector took the first byte of the first part of the body in a read for the first byte of the read. Change: ResponseDecoder compares what the first decoding of a read consumed with the part of the body that it gave.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
@@ -28,6 +28,11 @@
         isAtReadStart = true
     }
 
+    /** Called when the read began with other bytes than those of the body. */
+    fun readBeganBeforeBody() {
+        isAtReadStart = false
+    }
+
     /** Whether the body, of which [part] is the next part, holds the head of another response. */
     fun finds(part: ByteBuf): Boolean = part.forEachByte { byte -> !findsAt(byte) } >= 0
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InterruptionDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InterruptionDetector.kt
@@ -22,6 +22,9 @@
     /** Called when bytes have been read from the connection, before any of them is decoded. */
     fun readStarted() = innerHeads.readStarted()
 
+    /** Called when the read began with other bytes than those of the body. */
+    fun readBeganBeforeBody() = innerHeads.readBeganBeforeBody()
+
     /** Whether the body, of which [part] is the next part, holds the head of another response. */
     fun isInterruptedBy(part: ByteBuf): Boolean = innerHeads.finds(part)
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
@@ -15,15 +16,23 @@
 internal class ResponseDecoder(private val matcher: ResponseMatcher) :
     HttpResponseDecoder(DECODER_CONFIG) {
     private var isInputShutDown = false
+    private var isReadStart = false
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         matcher.readStarted()
+        isReadStart = true
         super.channelRead(context, message)
     }
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (buffer.isReadable) matcher.bytesArrived(buffer)
+        val isFirst = isReadStart
+        isReadStart = false
+        val start = buffer.readerIndex()
+        val decoded = out.size
         super.decode(context, buffer, out)
+        val body = (out.getOrNull(decoded) as? HttpContent)?.content()?.readableBytes()
+        if (isFirst && buffer.readerIndex() - start != body) matcher.readBeganBeforeBody()
     }
 
     override fun decodeLast(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -127,6 +127,11 @@
         interruption?.readStarted()
     }
 
+    /** Called when the read began with other bytes than those of a body, such as the size of a chunk. */
+    fun readBeganBeforeBody() {
+        interruption?.readBeganBeforeBody()
+    }
+
     /** Called before [bytes] are decoded, at least one. */
     fun bytesArrived(bytes: ByteBuf) {
         val isInvalidStart = isAtStart && bytes.getByte(bytes.readerIndex()) != FIRST_BYTE
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -161,6 +161,14 @@
         assertEquals(emptyList(), broken)
     }
 
+    @Test
+    fun `a chunk that begins with a status line is a part of its response`() {
+        val server = Server()
+        server.write("${HEAD}Transfer-Encoding: chunked\r\n\r\n")
+        server.write("f\r\nHTTP/1.1 200 OK\r\n0\r\n\r\n")
+        assertEquals("200 HTTP/1.1 200 OK end", "${server.received}")
+    }
+
     /** Waits for the rest of a response that may have begun inside the body, but not for ever. */
     @Test
     fun `a body that ends as a response begins is passed on after a moment`() {
