--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
@@ -21,7 +21,7 @@
     private val line = StringBuilder()
 
     /** Whether the body ended inside something that reads as the head of a response. */
-    val isOpen: Boolean get() = isInHead || (startsRead && matched > 0) || matched >= MIN_PREFIX
+    val isOpen: Boolean get() = isInHead || matched > 0
 
     /** Called when bytes have been read from the connection, before they are passed to [finds]. */
     fun readStarted() {
@@ -85,9 +85,6 @@
 
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
-
-        /** Characters of a status line with which a body ends more often than one would by chance. */
-        const val MIN_PREFIX = 5
         const val MAX_LINE = 8192
 
         val DIGIT = Expected { it in '0'.code..'9'.code }
