Take the lowest revision of a list's pages as that of the list

Cause: a list in several pages counted as of the revision of its first page. When a later page is older, objects that were written between the two revisions are missing on it, and the mirror removed them. Change: removals and the watch start from the lowest revision of all pages. Test: 'an object that is newer than the page that lacks it stays' failed before (expected [a, b, c], was [a, b]).

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectMirror.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectMirror.kt
@@ -57,7 +57,7 @@
         private set
 
     /** Lists the objects from the first page on and then watches for changes. */
-    fun start() = list(after = null, seen = HashMap(), firstRevision = null)
+    fun start() = list(after = null, seen = HashMap(), lowest = null)
 
     /** Time since the first failed call after the latest success; null while the store answers. */
     fun outageDuration(): Duration? = outage.duration()
@@ -79,14 +79,16 @@
         }
     }
 
-    private fun list(after: String?, seen: HashMap<String, StoredObject>, firstRevision: Long?) {
+    /** Lists on from [after]; [lowest] is the lowest revision of the pages before. */
+    private fun list(after: String?, seen: HashMap<String, StoredObject>, lowest: Long?) {
         val startedAt = context.clock.now()
         context.client.list(kind, after) { reply ->
             if (reply is StoreReply.Success) {
                 onContact(startedAt)
                 val page = reply.value
                 page.objects.forEach { seen[it.name] = it }
-                val asOf = firstRevision ?: page.revision
+                // A page tells nothing of changes after its own revision.
+                val asOf = minOf(lowest ?: page.revision, page.revision)
                 if (page.after != null) list(page.after, seen, asOf) else applyList(seen, asOf)
             } else {
                 wasAway = true
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/store/ObjectMirrorTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/store/ObjectMirrorTest.kt
@@ -42,6 +42,18 @@
         assertEquals(5, client.watchedRevision)
     }
 
+    @Test
+    fun `an object that is newer than the page that lacks it stays`() {
+        mirror.start()
+        client.answerList(page(5, stored("a", 3), stored("b", 4)))
+        client.answerWatch(page(8, stored("c", 8)))
+        client.answerWatch(StoreReply.HistoryGone)
+        client.answerList(page(9, stored("a", 3), after = "a"))
+        client.answerList(page(7, stored("b", 4)))
+        assertEquals(setOf("a", "b", "c"), seen.keys)
+        assertEquals(7, client.watchedRevision)
+    }
+
     @Test
     fun `watch events replace and remove objects and events of a lower revision are ignored`() {
         mirror.start()
