Begin a copy anew over each new connection to its source

Cause: a position in a source's entries is valid for one process. It was dropped only when the reader saw the registration of the next process; until then the connection was opened again by itself, the old position went to the new process, and where that held fewer entries it answered an empty end. The reader counted the copy as complete without the entries, and the source counted the reader as having them, which a retirement relies on. Change: a position is used only over the TCP connection on which it came. HistoryReplicator gets its own name and a way to connect instead of the whole runtime, so that it can be tested with two processes of a source. Test: 'a copy from a process that has started since begins anew' failed with the position kept (expected 9 entries, was 5).

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
@@ -5,6 +5,7 @@
 import io.jasmineford.gateway.peer.Heartbeat
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.turn.HistoryBudget
+import io.jasmineford.gateway.turn.HistoryConnection
 import io.jasmineford.gateway.turn.HistoryGroup
 import io.jasmineford.gateway.turn.HistoryLog
 import io.jasmineford.gateway.turn.HistoryReplica
@@ -34,7 +35,9 @@
         budget = HistoryBudget.of(Runtime.getRuntime().maxMemory(), node.settings.diskBytes),
         onControl = { node.loop.execute(it) },
     )
-    private val replicator = HistoryReplicator(node, history)
+    private val replicator = HistoryReplicator(node.settings.name, history) { member ->
+        HistoryConnection(node.group, member, node.clock, node.log)
+    }
     private val membership: Membership = Membership(
         node = node,
         policy = HeartbeatPolicy(
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryReplicator.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.daemon
 
+import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.turn.HistoryConnection
 import io.jasmineford.gateway.turn.HistoryGroup
@@ -9,13 +10,22 @@
 import io.jasmineford.gateway.turn.HistoryRequest
 import io.jasmineford.gateway.turn.HistoryStatus
 
-/** Copies the entries of other history daemons to this daemon's disk. */
+/**
+ * Copies the entries of other history daemons to this daemon's disk.
+ *
+ * @param name name of this daemon.
+ * @param connect makes a connection to a source.
+ */
 internal class HistoryReplicator(
-    private val node: NodeRuntime,
+    private val name: String,
     private val history: HistoryReplica,
+    private val connect: (Member) -> HistoryConnection,
 ) {
+    /** Position that a source returned; it is valid for the process at the other end of its connection only. */
+    private class Position(val next: Int, val connectionNumber: Int)
+
     private val connections = HashMap<String, HistoryConnection>()
-    private val positions = HashMap<String, Int>()
+    private val positions = HashMap<String, Position>()
     private val running = HashSet<String>()
     private val completed = HashMap<String, HistoryStatus>()
 
@@ -31,22 +41,25 @@
     }
 
     private fun copyNext(peer: Peer, group: HistoryGroup) {
-        val name = peer.member.name
+        val source = peer.member.name
         val connection = connectionTo(peer)
-        val request = HistoryRequest.Copy(positions[name] ?: 0, node.settings.name)
-        connection.send(group.stampFor(name), request, HistoryQuorum.REPLY_TIMEOUT) { reply ->
+        // The process that answers over a new connection may have started since, and its registration not be known yet.
+        val known = positions[source]?.takeIf { it.connectionNumber == connection.openNumber }
+        val request = HistoryRequest.Copy(known?.next ?: 0, name)
+        connection.send(group.stampFor(source), request, HistoryQuorum.REPLY_TIMEOUT) { reply ->
             if (reply is HistoryReply.Copied) {
+                val position = Position(reply.next, connection.openNumber ?: NO_CONNECTION)
                 history.write(reply.entries) { isSynced ->
-                    if (isSynced) copied(peer, reply, group) else running.remove(name)
+                    if (isSynced) copied(peer, reply, position, group) else running.remove(source)
                 }
             } else {
-                running.remove(name)
+                running.remove(source)
             }
         }
     }
 
-    private fun copied(peer: Peer, reply: HistoryReply.Copied, group: HistoryGroup) {
-        positions[peer.member.name] = reply.next
+    private fun copied(peer: Peer, reply: HistoryReply.Copied, position: Position, group: HistoryGroup) {
+        positions[peer.member.name] = position
         if (reply.isEnd) ended(peer, reply.status, group) else copyNext(peer, group)
     }
 
@@ -65,7 +78,12 @@
         return connections.getOrPut(key) {
             // Positions are valid only for the incarnation of the source that returned them.
             positions.remove(peer.member.name)
-            HistoryConnection(node.group, peer.member, node.clock, node.log)
+            connect(peer.member)
         }
     }
+
+    private companion object {
+        /** Number that no open connection has. */
+        const val NO_CONNECTION = -1
+    }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -35,6 +35,13 @@
 
     private val pending = LinkedHashMap<Long, Pending>()
     private var hasFailed = false
+    private var lastNumber = 0
+
+    /**
+     * Number of the TCP connection that is open; null while there is none. Each one leads to one process only: after a
+     * restart of the daemon it is another one.
+     */
+    val openNumber: Int? get() = lastNumber.takeIf { channel != null }
 
     /** Whether the daemon has replied to the latest requests, or is being asked for the first time. */
     val isResponsive: Boolean
@@ -109,6 +116,7 @@
             return
         }
         this.channel = channel
+        lastNumber++
         val frames = unsent.filter { it.number in pending }
         unsent.clear()
         frames.forEach { channel.writeFrame(peerCbor.encodeToByteArray(it)) }
