Send no body in response to a HEAD request

Cause: the daemon's own responses (addresses, metrics) had their body after a HEAD request too, which the caller reads as the start of the next response on its connection. Responses of endpoints to HEAD have none anyway. Change: the length is sent, the body is not. Test: 'a response to a HEAD request has no body, whatever its length says' failed before: the body was sent.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -109,7 +110,7 @@
         if (current != null || !channel.isActive) return
         val (request, fullBody) = waiting.removeFirstOrNull() ?: return closeWhenIdle()
         channel.config().isAutoRead = true
-        val exchange = Exchange(fullBody, HttpUtil.isKeepAlive(request))
+        val exchange = Exchange(fullBody, HttpUtil.isKeepAlive(request), isHead = request.method() == HttpMethod.HEAD)
         current = exchange
         handler.handle(CallerRequest(request.method(), request.uri(), request.headers(), fullBody), exchange)
     }
@@ -158,7 +159,11 @@
         channel.closeAfter(cause, log)
     }
 
-    private inner class Exchange(private val body: ByteBuf, private val isKeepAlive: Boolean) : CallerExchange {
+    private inner class Exchange(
+        private val body: ByteBuf,
+        private val isKeepAlive: Boolean,
+        private val isHead: Boolean,
+    ) : CallerExchange {
         private var isStarted = false
         private var isEnded = false
         private var willClose = false
@@ -172,14 +177,16 @@
                 if (isStarted) abort()
                 return
             }
+            val length = body.readableBytes()
             val response = DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
-                body,
+                // The caller would take a body for the start of the next response.
+                if (isHead) Unpooled.EMPTY_BUFFER.also { body.release() } else body,
                 headers,
                 DefaultHttpHeadersFactory.trailersFactory().newHeaders(),
             )
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length)
             setConnection(response.headers())
             end(response)
         }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerConnectionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerConnectionTest.kt
@@ -66,14 +66,21 @@
         assertEquals(1, disconnects)
     }
 
-    private fun connection(): EmbeddedChannel {
+    @Test
+    fun `a response to a HEAD request has no body, whatever its length says`() {
+        val channel = connection("HEAD /p/ HTTP/1.1\r\nHost: h\r\n\r\n")
+        exchange.answer(OK, headers(), bytes("one"))
+        assertEquals("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n", channel.sent())
+    }
+
+    private fun connection(request: String = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n"): EmbeddedChannel {
         val channel = EmbeddedChannel(HttpRequestDecoder(), HttpResponseEncoder())
         val connection = CallerConnection(channel, limits, isClosing = { false }, noOpLog) { _, opened ->
             exchange = opened
             opened.onDisconnect = { disconnects++ }
         }
         channel.pipeline().addLast("connection", connection)
-        channel.writeInbound(bytes("GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n"))
+        channel.writeInbound(bytes(request))
         return channel
     }
 
