Take a history daemon whose log lost records of an earlier segment for incomplete

Cause: replay read the intact start of each segment and took it for the whole. An earlier segment that was torn or short, also at a record's edge, went unnoticed: the daemon stayed complete, and answered that acknowledged turns don't exist and that budgets are less spent. Change: a segment is followed by another one only once it is synced at its full size, so a shorter one, or one with unreadable bytes at its end, has lost records. The daemon then counts as one that lost its disk (in no group, epoch 0) and copies from the others; what is left of the segment is appended again and replaces it, so that the next start finds nothing missing. No format has changed. Open: a segment that is missing as a whole, and a cut behind 4 MB at a record's edge of the last batch, are not noticed.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryLog.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryLog.kt
@@ -22,7 +22,8 @@
 /**
  * Write-ahead log of history entries in files of limited size, the segments. Each record is preceded by its length and
  * CRC-32. Replay stops at the first torn record of the last segment and truncates the file there: nothing after an
- * unsynced record was acknowledged.
+ * unsynced record was acknowledged. Each earlier segment was synced at its full size before the next one was created,
+ * so one whose intact records are fewer has lost acknowledged ones.
  *
  * The order of records within the log matters for statuses only. A segment is removed once its entries that are still
  * needed have been appended again; a crash in between leaves some of them twice.
@@ -60,6 +61,12 @@
     val closedSegments: Map<Int, Long>
         get() = segments.headMap(segments.lastKey()).mapValues { (_, segment) -> segment.end }
 
+    /** Numbers of the segments that lack records which were acknowledged; known after the replay. */
+    val cutSegments: Set<Int>
+        get() = segments.headMap(segments.lastKey()).values.filter { it.isCut }.map { it.number }.toSet()
+
+    private val Segment.isCut: Boolean get() = end < segmentBytes || end < file.length
+
     /** Passes all intact entries to [onEntry] and returns the length of the log in bytes; see [replayLocated]. */
     fun replay(onEntry: (HistoryEntry) -> Unit): Long = replayLocated { entry, _ -> onEntry(entry) }
 
@@ -159,6 +166,7 @@
     override fun close() = segments.values.forEach { it.file.close() }
 
     private companion object {
+        /** Size from which a segment is followed by another one. If it grew, older segments would count as cut. */
         const val SEGMENT_BYTES = 4L * 1024 * 1024
         const val CHECKSUM_OFFSET = 4
         const val REPLAY_BUFFER_BYTES = 64 * 1024
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryReplica.kt
@@ -69,7 +69,16 @@
         queuedStatus = status
         events.event("history-loaded", "entries" to state.size, "bytes" to bytes, "standing" to status)
         writer.start()
-        if (isFirstStart && !status.knowsGroup) updateStatus(status.copied())
+        val cut = log.cutSegments
+        if (cut.isNotEmpty()) {
+            events.event("history-segments-cut", "segments" to cut, "standing" to status)
+            // Acknowledged entries are missing, so the daemon is in no group, as after a loss of its disk. What is left
+            // of the segments is appended again and replaces them, so that they are not found anew at each start.
+            status = HistoryStatus(epoch = 0, isComplete = false)
+            cut.forEach { number -> append(state.held.filter { it.location?.segment == number }, emptied = number) {} }
+        } else if (isFirstStart && !status.knowsGroup) {
+            updateStatus(status.copied())
+        }
     }
 
     /** Changes the status; it is on disk before any later write is acknowledged. */
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryReplicaTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryReplicaTest.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.gateway.noOpLog
 import org.junit.jupiter.api.io.TempDir
+import java.nio.ByteBuffer
 import java.nio.file.Path
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -64,6 +65,33 @@
         assertEquals(first.next, replica.copiedUpTo["reader"])
     }
 
+    private fun segmented() =
+        HistoryReplica(HistoryLog(DiskLogFolder(directory), SEGMENT_BYTES), noOpLog) { control.add(it) }
+            .also { it.start(isFirstStart = true) }
+
+    /** Cuts the second of several segments, also between two records. */
+    @Test
+    fun `a replica whose log has lost the end of an earlier segment counts as one that lost its disk`() {
+        segmented().run { repeat(20) { ask(1, reserve("t$it")) } }
+        val files = checkNotNull(directory.toFile().listFiles()).associateWith { it.readBytes() }
+        val cut = files.keys.sorted()[1]
+        val whole = files.getValue(cut)
+        val record = RECORD_HEADER_BYTES + ByteBuffer.wrap(whole).getInt()
+        listOf(0, record - 1, record, whole.size - 1).forEach { length ->
+            directory.toFile().listFiles()?.forEach { it.delete() }
+            files.forEach { (file, bytes) -> file.writeBytes(if (file == cut) bytes.copyOf(length) else bytes) }
+            val replica = segmented()
+            assertEquals(HistoryReply.Incomplete, replica.ask(1, reserve("t20")), "cut at $length")
+            replica.updateStatus(replica.status.inGroup(GroupStamp(1)))
+            replica.ask(1, HistoryRequest.Copy(0, "reader"))
+            replica.completeCopy()
+            assertIs<HistoryReply.Reserved>(replica.ask(1, reserve("t20")))
+            // What is left has replaced the segment, so the next start finds nothing missing.
+            assertEquals(false, cut.exists())
+            assertEquals(true, segmented().status.isComplete)
+        }
+    }
+
     private fun emptied() = replica().also { it.updateStatus(it.status.inGroup(GroupStamp(1))) }
 
     @Test
@@ -100,4 +128,10 @@
         replica.updateStatus(replica.status.inGroup(GroupStamp(2)))
         assertEquals(emptyMap(), replica.copiedUpTo)
     }
+
+    private companion object {
+        /** Less than three records. */
+        const val SEGMENT_BYTES = 300L
+        const val RECORD_HEADER_BYTES = 8
+    }
 }
