--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerConnectionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerConnectionTest.kt
@@ -66,6 +66,35 @@
         assertEquals(1, disconnects)
     }
 
+    @Test
+    fun `a request that is cut at any byte is not handled when its connection ends`() {
+        val head = "POST /p/ HTTP/1.1\r\nHost: h\r\n"
+        val requests = listOf(
+            head + "Content-Length: 9\r\n\r\nGET / HTT",
+            head + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\none",
+            head + "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n1\r\n2\r\n0\r\nTrailer: t\r\n\r\n",
+        )
+        val whole = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n"
+        requests.forEach { request ->
+            assertEquals(2, handledOf(whole + request), request)
+            request.indices.forEach { cut -> assertEquals(1, handledOf(whole + request.take(cut)), request.take(cut)) }
+        }
+    }
+
+    /** Number of requests that are handled until a connection ends on which [text] is sent. */
+    private fun handledOf(text: String): Int {
+        var handled = 0
+        val channel = EmbeddedChannel(HttpRequestDecoder(), HttpResponseEncoder())
+        val handler = CallerHandler { _, opened ->
+            handled++
+            opened.answer(OK, headers(), Unpooled.EMPTY_BUFFER)
+        }
+        channel.pipeline().addLast(CallerConnection(channel, limits, isClosing = { false }, noOpLog, handler))
+        channel.writeInbound(bytes(text))
+        channel.finishAndReleaseAll()
+        return handled
+    }
+
     @Test
     fun `a response to a HEAD request has no body, whatever its length says`() {
         val channel = connection("HEAD /p/ HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
@@ -51,6 +51,17 @@
         assertEquals(whole, peerCbor.decodeFromByteArray<Heartbeat>(HexFormat.of().parseHex(hex)))
     }
 
+    /** Guards against absent parts that take their defaults. */
+    @Test
+    fun `a message that is cut at any byte is unreadable`() {
+        val whole = heartbeat.copy(ready = listOf(7), rates = emptyList(), to = 9)
+        val bytes = peerCbor.encodeToByteArray(whole)
+        val read = bytes.indices.filter { length ->
+            runCatching { peerCbor.decodeFromByteArray<Heartbeat>(bytes.copyOf(length)) }.isSuccess
+        }
+        assertEquals(emptyList(), read)
+    }
+
     @Test
     fun `the bytes of a member are fixed`() {
         val hex = "bf646e616d6568656467652d612d316b696e6361726e6174696f6e1b0000018bcfe56800647a6f6e6561616672656769" +
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryConnectionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryConnectionTest.kt
@@ -145,6 +145,19 @@
         assertEquals(7, request().total())
     }
 
+    @Test
+    fun `a reply that is cut at any byte before the connection ends is none`() {
+        val reply = peerCbor.encodeToByteArray(ReplyFrame(0, HistoryReply.Turns(emptyList(), missing = null)))
+        serve { _, number ->
+            writeInt(reply.size)
+            write(reply, 0, number)
+            flush()
+            throw IOException("closed")
+        }
+        assertEquals(emptyList(), reply.indices.filter { request().await() != null })
+        assertEquals(reply.size, accepted.get())
+    }
+
     /** Guards against a connection to a daemon that has left, which nobody closes. */
     @Test
     fun `a connection that is closed while it is being opened does not stay open`() {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryLogTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryLogTest.kt
@@ -45,6 +45,19 @@
         }
     }
 
+    /** A file may be longer than what was written to it before a loss of power. */
+    @Test
+    fun `zeros behind the last record are no records`() {
+        for (zeros in 1..40) {
+            directory.resolve("history.log").toFile().delete()
+            write("a", "b")
+            directory.resolve("history.log").toFile().appendBytes(ByteArray(zeros))
+            assertEquals(listOf<String?>("a", "b"), read(), "$zeros zeros")
+            write("c")
+            assertEquals(listOf<String?>("a", "b", "c"), read(), "$zeros zeros")
+        }
+    }
+
     @Test
     fun `replay stops at a corrupt record`() {
         write("a", "b")
