Leave a body whole that quotes a status line inside a string

A reply of the platform's store was broken off each time if a string in it held the text "HTTP/1.1 200": one such object made all lists of its kind unreadable. A one-line body of an endpoint that quotes a status line was 20 ms late.

Cause: the detector stopped at the status, though only the end of the line can't stand in a string of JSON; and a status line went on behind the string that quotes it.

Change: without ids the end of the line decides; a quotation mark ends a quoted status line.

Evidence: both new tests failed on ("200 failed"; no "end" before time passed) and pass now.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InnerHeadDetector.kt
@@ -10,7 +10,8 @@
  *
  * - where a read from the connection begins with it, as bytes that were sent later do, or
  * - if header lines with the [idHeader] follow it, or the body ends before the head does and more bytes follow, or
- * - in any place if [idHeader] is null: the server has no ids, and its bodies are JSON, which holds no status line.
+ * - with the end of its line, in any place, if [idHeader] is null: the server has no ids, and its bodies are JSON. The
+ *   text of a status line may stand in a string of JSON, but no string holds the end of a line.
  */
 internal class InnerHeadDetector(private val idHeader: String?) {
     private var matched = 0
@@ -41,8 +42,10 @@
     }
 
     private fun findsAt(byte: Byte): Boolean {
-        val isIdLine = isInHead && endsIdLine(byte)
-        return isIdLine || (endsStatusLine(byte) && (startsRead || idHeader == null))
+        // The end of a string that quotes a status line.
+        if (isStatusLine && byte == QUOTE) isInHead = false
+        val isFoundLine = isInHead && endsTellingLine(byte)
+        return isFoundLine || (endsStatusLine(byte) && startsRead)
     }
 
     private fun endsStatusLine(byte: Byte): Boolean {
@@ -60,18 +63,22 @@
         return isStatusLineEnd
     }
 
-    /** Whether [byte], inside the lines from a status line on, ends a header line with an id. */
-    private fun endsIdLine(byte: Byte): Boolean {
+    /**
+     * Whether [byte], inside the lines from a status line on, ends a header line with an id, or the status line itself
+     * if there are no ids.
+     */
+    private fun endsTellingLine(byte: Byte): Boolean {
         if (byte != LINE_FEED) {
             line.append(byte.toInt().toChar())
             isInHead = line.length <= MAX_LINE
             return false
         }
         val name = "$line".substringBefore(':', missingDelimiterValue = "")
+        val isTelling = if (idHeader == null) isStatusLine else name.equals(idHeader, ignoreCase = true)
         line.clear()
         isInHead = isStatusLine || name.isNotEmpty()
         isStatusLine = false
-        return name.equals(idHeader, ignoreCase = true)
+        return isTelling
     }
 
     private fun interface Expected {
@@ -80,6 +87,7 @@
 
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
+        const val QUOTE = '"'.code.toByte()
 
         /** Characters of a status line with which a body ends more often than one would by chance. */
         const val MIN_PREFIX = 5
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -161,6 +161,25 @@
         assertEquals(emptyList(), broken)
     }
 
+    /** A string of JSON may hold the text of a status line. */
+    @Test
+    fun `a reply of a server without ids stays whole when a string in it quotes a status line`() {
+        val bodies = listOf("{\"a\":\"HTTP/1.1 200 OK\"}", "{\n\"a\": \"see HTTP/1.1 503\",\n\"b\": 1\n}\n")
+        val broken = bodies.filter { body ->
+            val whole = "$HEAD${lengthOf(body)}$body"
+            outcomeOf(whole, whole.length, "", Arrival.ONE_READ, hasIds = false) != "200 $body end"
+        }
+        assertEquals(emptyList(), broken)
+    }
+
+    @Test
+    fun `a body that quotes a status line in a string is not late`() {
+        val body = "{\"log\":\"HTTP/1.1 200 OK\",\"count\":1}"
+        val server = Server()
+        server.write("$HEAD${lengthOf(body)}$body")
+        assertEquals("200 $body end", "${server.received}")
+    }
+
     /** Waits for the rest of a response that may have begun inside the body, but not for ever. */
     @Test
     fun `a body that ends as a response begins is passed on after a moment`() {
