Break off a stream whose event is completed by the head of a response

A stream that stopped inside an event and ran on, in one read, into a response without an id passed on that event with the status line in its data: other lines were looked at only in blocks without data.

Change: all lines of each block are comments or fields, whose names are in lower case.

Evidence: the new test got the events [a, bHTTP/1.1 500 Oh] on and passes now.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
@@ -56,13 +56,10 @@
         isLineEmpty = true
         val lines = String(bytes, Charsets.UTF_8).lines()
         val isEvent = lines.any { it.startsWith(DATA) || it.startsWith(ID) }
-        if (!isEvent) {
-            isInvalid = lines.any { it.isNotEmpty() && !COMMENT_OR_FIELD.containsMatchIn(it) }
-            return
-        }
         val id = lines.lastOrNull { it.startsWith(ID) }?.field(ID)
-        isInvalid = !isInOrder(id?.toLongOrNull())
-        if (isInvalid) return
+        val hasOtherLines = lines.any { it.isNotEmpty() && !COMMENT_OR_FIELD.containsMatchIn(it) }
+        isInvalid = hasOtherLines || !isInOrder(id?.toLongOrNull())
+        if (isInvalid || !isEvent) return
         val text = lines.filter { it.startsWith(DATA) }.joinToString("\n") { it.field(DATA) }
         onEvent(StreamEvent(bytes, id, text))
     }
@@ -82,6 +79,7 @@
         const val DATA = "data:"
         const val ID = "id:"
 
-        val COMMENT_OR_FIELD = Regex("^[A-Za-z0-9_-]*:")
+        /** Names of fields are in lower case; those of headers, which follow where a response runs on, mostly not. */
+        val COMMENT_OR_FIELD = Regex("^[a-z0-9_-]*:")
     }
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EventStreamReaderTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/EventStreamReaderTest.kt
@@ -28,6 +28,13 @@
         assertTrue(reader.isInvalid)
     }
 
+    @Test
+    fun `an event that is completed by the head of a response ends the stream's events`() {
+        read("data: a\n\nid: 2\ndata: bHTTP/1.1 500 Oh\r\nServer: x\r\nContent-Length: 3\r\n\r\n")
+        assertEquals(listOf("a"), events.map { it.data })
+        assertTrue(reader.isInvalid)
+    }
+
     @Test
     fun `an event that comes again ends the stream's events`() {
         val resumed = EventStreamReader(after = 2)
