Count the reads of a response that is broken off

call-broken named 0 reads, or those of another response: the number was taken after the request was done, from an end that had not come.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -93,7 +93,7 @@
     /** Whether the response is complete, but not all bytes that came with it have been looked at. */
     val isEnded: Boolean get() = state == State.ENDED
 
-    /** Number of reads from the connection since the request was sent, up to the one with the end of its response. */
+    /** Number of reads from the connection since the request was sent, up to the one that ended it. */
     val reads: Int get() = (if (isBusy) readNumber else endRead) - sentRead
 
     /** Whether bytes of another response may have filled the body of the one that has ended. */
@@ -190,6 +190,7 @@
 
     /** Called when the bytes that came with the end of the response have been looked at, or the request is given up. */
     fun requestDone() {
+        if (isBusy) endRead = readNumber
         state = State.IDLE
     }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -48,6 +48,7 @@
         }
 
         val isUsable: Boolean get() = connection.isReusable
+        val reads: Int get() = connection.reads
 
         fun write(text: String) {
             if (text.isEmpty() || !channel.isOpen) return
@@ -180,6 +181,15 @@
         assertEquals("200 $body end", "${server.received}")
     }
 
+    @Test
+    fun `the reads of a response that is broken off are counted`() {
+        val server = Server()
+        server.write("$HEAD${lengthOf(BODY)}{")
+        server.write("x")
+        server.write(NEXT.first())
+        assertEquals("200 {x failed, 3", "${server.received}, ${server.reads}")
+    }
+
     /** Waits for the rest of a response that may have begun inside the body, but not for ever. */
     @Test
     fun `a body that ends as a response begins is passed on after a moment`() {
