Find each status line inside a head that the decoder would take for one

A 200 that stopped in its reason or in a header was completed by a response whose status line has other spaces, lower case or another version; the caller got status and signature of the first one with the other's body.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -216,14 +216,16 @@
     HttpResponseStatus.TOO_MANY_REQUESTS.code(),
     HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
 )
-private val STATUS_LINE = Regex("HTTP/1\\.[01] \\d{3}")
+
+/** Start of each line that the decoder takes for a status line. */
+private val STATUS_LINE = Regex("HTTP/\\d(\\.\\d)?[ \\t]+\\d{3}", RegexOption.IGNORE_CASE)
 private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
 
 private fun verdictOf(head: HttpResponse, identity: ResponseIdentity?): HeadVerdict {
     val status = head.status().code()
     return when {
         head.protocolVersion() !in VERSIONS -> HeadVerdict.Invalid("bytes before a response")
-        head.status().reasonPhrase().hasStatusLine() || head.headers().any { it.value.hasStatusLine() } ->
+        head.status().reasonPhrase().hasStatusLine() || head.headers().holdStatusLine() ->
             HeadVerdict.Invalid("response inside the head of another one")
         status == HttpResponseStatus.SWITCHING_PROTOCOLS.code() -> HeadVerdict.Invalid("protocol was switched")
         status < FIRST_FINAL_STATUS -> HeadVerdict.Interim
@@ -249,4 +251,6 @@
 }
 
 /** A head that was cut short runs on into the status line of the next one. */
-private fun String.hasStatusLine() = contains("HTTP/1.") && STATUS_LINE.containsMatchIn(this)
+private fun String.hasStatusLine() = contains("HTTP/", ignoreCase = true) && STATUS_LINE.containsMatchIn(this)
+
+private fun HttpHeaders.holdStatusLine() = any { it.value.hasStatusLine() }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -190,6 +190,21 @@
         assertEquals("200 {x failed, 3", "${server.received}, ${server.reads}")
     }
 
+    /** The decoder takes each of these for the start of a response. */
+    @Test
+    fun `a head is not completed by the next response, however its status line is written`() {
+        val lines = listOf("HTTP/1.1  500 Oh", "HTTP/1.1\t500 Oh", "http/1.1 500 Oh", "HTTP/2 500 Oh", "HTTP/1.1 500")
+        val cuts = listOf("HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s", "${HEAD}Server: ")
+        val accepted = cuts.flatMap { cut ->
+            lines.filter { line ->
+                val next = "$line\r\nAttempt: a1\r\nSignature: t\r\nContent-Length: 3\r\n\r\nbad"
+                val withoutIds = "$line\r\nContent-Length: 3\r\n\r\nbad"
+                listOf(next, withoutIds).any { "end" in outcomeOf(cut, cut.length, it, Arrival.TWO_READS) }
+            }
+        }
+        assertEquals(emptyList(), accepted)
+    }
+
     /** Waits for the rest of a response that may have begun inside the body, but not for ever. */
     @Test
     fun `a body that ends as a response begins is passed on after a moment`() {
