Break off a response whose trailers run on into another response

A response in chunks that stopped inside a trailer was complete with the head of the next response. All its chunks had come, but it ended early.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -122,6 +122,7 @@
             BodyVerdict.UNMATCHED -> if (matcher.hasSkippedTooMuch) fail("responses to other requests without end")
             BodyVerdict.INTERRUPTED -> fail(INTERRUPTED)
         }
+        if (content is LastHttpContent && matcher.isInterruptedIn(content.trailingHeaders())) fail(INTERRUPTED)
         // The listener may have aborted the exchange in onData.
         if (content is LastHttpContent && listener === current && matcher.endArrived()) {
             if (!isWritten) matcher.taint()
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -205,6 +205,13 @@
         assertEquals(emptyList(), accepted)
     }
 
+    @Test
+    fun `trailers are not completed by the next response`() {
+        val cut = "${HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nDigest: "
+        val accepted = NEXT.filter { "end" in outcomeOf(cut, cut.length, it, Arrival.TWO_READS) }
+        assertEquals(emptyList(), accepted)
+    }
+
     /** Waits for the rest of a response that may have begun inside the body, but not for ever. */
     @Test
     fun `a body that ends as a response begins is passed on after a moment`() {
