Break off a response in an unknown transfer coding

Transfer-Encoding cut short, or a coding that was not asked for, made the body all bytes up to the close, chunk sizes included; the header is not passed on, so the caller took them for the body.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.http
 
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
@@ -219,6 +220,7 @@
     HttpResponseStatus.TOO_MANY_REQUESTS.code(),
     HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
 )
+private const val CHUNKED = "chunked"
 
 /** Start of each line that the decoder takes for a status line. */
 private val STATUS_LINE = Regex("HTTP/\\d(\\.\\d)?[ \\t]+\\d{3}", RegexOption.IGNORE_CASE)
@@ -230,6 +232,8 @@
         head.protocolVersion() !in VERSIONS -> HeadVerdict.Invalid("bytes before a response")
         head.status().reasonPhrase().hasStatusLine() || head.headers().holdStatusLine() ->
             HeadVerdict.Invalid("response inside the head of another one")
+        head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).any { !it.equals(CHUNKED, ignoreCase = true) } ->
+            HeadVerdict.Invalid("unknown transfer coding")
         status == HttpResponseStatus.SWITCHING_PROTOCOLS.code() -> HeadVerdict.Invalid("protocol was switched")
         status < FIRST_FINAL_STATUS -> HeadVerdict.Interim
         identity == null -> HeadVerdict.Own(ResponseMeaning.EXECUTED)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -212,6 +212,18 @@
         assertEquals(emptyList(), accepted)
     }
 
+    /** The daemons ask for no coding but chunks; read as bytes up to the close, the body would be another one. */
+    @Test
+    fun `a response in an unknown transfer coding is not passed on`() {
+        val accepted = listOf("chunk", "gzip, chunked", "chunknoise").filter { coding ->
+            val server = Server()
+            server.write("${HEAD}Transfer-Encoding: $coding\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+            server.close()
+            "end" in server.received
+        }
+        assertEquals(emptyList(), accepted)
+    }
+
     /** Waits for the rest of a response that may have begun inside the body, but not for ever. */
     @Test
     fun `a body that ends as a response begins is passed on after a moment`() {
