--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -94,7 +94,7 @@
     /** Whether the response is complete, but not all bytes that came with it have been looked at. */
     val isEnded: Boolean get() = state == State.ENDED
 
-    /** Number of reads from the connection since the request was sent, up to the one with the end of its response. */
+    /** Number of reads from the connection since the request was sent, up to the one that ended it. */
     val reads: Int get() = (if (isBusy) readNumber else endRead) - sentRead
 
     /** Whether bytes of another response may have filled the body of the one that has ended. */
@@ -181,6 +181,9 @@
     /** Whether more bytes were skipped than a response to another request has. */
     val hasSkippedTooMuch: Boolean get() = skippedBytes > MAX_SKIPPED_BYTES
 
+    /** Whether another response has begun inside [trailers], the header lines behind the last chunk of a body. */
+    fun isInterruptedIn(trailers: HttpHeaders): Boolean = state == State.RECEIVING && trailers.holdStatusLine()
+
     /** Called at the end of each response; whether it was the one to the request. */
     fun endArrived(): Boolean {
         val isOwn = state == State.RECEIVING
@@ -196,6 +199,7 @@
 
     /** Called when the bytes that came with the end of the response have been looked at, or the request is given up. */
     fun requestDone() {
+        if (isBusy) endRead = readNumber
         state = State.IDLE
     }
 
@@ -221,15 +225,17 @@
     HttpResponseStatus.TOO_MANY_REQUESTS.code(),
     HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
 )
-private val STATUS_LINE = Regex("HTTP/\\d(\\.\\d)?[ \\t]+\\d{3}", RegexOption.IGNORE_CASE)
 private const val CHUNKED = "chunked"
+
+/** Start of each line that the decoder takes for a status line. */
+private val STATUS_LINE = Regex("HTTP/\\d(\\.\\d)?[ \\t]+\\d{3}", RegexOption.IGNORE_CASE)
 private val VERSIONS = setOf(HttpVersion.HTTP_1_0, HttpVersion.HTTP_1_1)
 
 private fun verdictOf(head: HttpResponse, identity: ResponseIdentity?): HeadVerdict {
     val status = head.status().code()
     return when {
         head.protocolVersion() !in VERSIONS -> HeadVerdict.Invalid("bytes before a response")
-        head.status().reasonPhrase().hasStatusLine() || head.headers().any { it.value.hasStatusLine() } ->
+        head.status().reasonPhrase().hasStatusLine() || head.headers().holdStatusLine() ->
             HeadVerdict.Invalid("response inside the head of another one")
         head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).any { !it.equals(CHUNKED, ignoreCase = true) } ->
             HeadVerdict.Invalid("unknown transfer coding")
@@ -258,3 +264,5 @@
 
 /** A head that was cut short runs on into the status line of the next one. */
 private fun String.hasStatusLine() = contains("HTTP/", ignoreCase = true) && STATUS_LINE.containsMatchIn(this)
+
+private fun HttpHeaders.holdStatusLine() = any { it.value.hasStatusLine() }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -48,6 +48,7 @@
         }
 
         val isUsable: Boolean get() = connection.isReusable
+        val reads: Int get() = connection.reads
 
         fun write(text: String) {
             if (text.isEmpty() || !channel.isOpen) return
@@ -169,6 +170,68 @@
         assertEquals("200 HTTP/1.1 200 OK end", "${server.received}")
     }
 
+    /** A string of JSON may hold the text of a status line. */
+    @Test
+    fun `a reply of a server without ids stays whole when a string in it quotes a status line`() {
+        val bodies = listOf("{\"a\":\"HTTP/1.1 200 OK\"}", "{\n\"a\": \"see HTTP/1.1 503\",\n\"b\": 1\n}\n")
+        val broken = bodies.filter { body ->
+            val whole = "$HEAD${lengthOf(body)}$body"
+            outcomeOf(whole, whole.length, "", Arrival.ONE_READ, hasIds = false) != "200 $body end"
+        }
+        assertEquals(emptyList(), broken)
+    }
+
+    @Test
+    fun `a body that quotes a status line in a string is not late`() {
+        val body = "{\"log\":\"HTTP/1.1 200 OK\",\"count\":1}"
+        val server = Server()
+        server.write("$HEAD${lengthOf(body)}$body")
+        assertEquals("200 $body end", "${server.received}")
+    }
+
+    @Test
+    fun `the reads of a response that is broken off are counted`() {
+        val server = Server()
+        server.write("$HEAD${lengthOf(BODY)}{")
+        server.write("x")
+        server.write(NEXT.first())
+        assertEquals("200 {x failed, 3", "${server.received}, ${server.reads}")
+    }
+
+    /** The decoder takes each of these for the start of a response. */
+    @Test
+    fun `a head is not completed by the next response, however its status line is written`() {
+        val lines = listOf("HTTP/1.1  500 Oh", "HTTP/1.1\t500 Oh", "http/1.1 500 Oh", "HTTP/2 500 Oh", "HTTP/1.1 500")
+        val cuts = listOf("HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nSignature: s", "${HEAD}Server: ")
+        val accepted = cuts.flatMap { cut ->
+            lines.filter { line ->
+                val next = "$line\r\nAttempt: a1\r\nSignature: t\r\nContent-Length: 3\r\n\r\nbad"
+                val withoutIds = "$line\r\nContent-Length: 3\r\n\r\nbad"
+                listOf(next, withoutIds).any { "end" in outcomeOf(cut, cut.length, it, Arrival.TWO_READS) }
+            }
+        }
+        assertEquals(emptyList(), accepted)
+    }
+
+    @Test
+    fun `trailers are not completed by the next response`() {
+        val cut = "${HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nDigest: "
+        val accepted = NEXT.filter { "end" in outcomeOf(cut, cut.length, it, Arrival.TWO_READS) }
+        assertEquals(emptyList(), accepted)
+    }
+
+    /** The daemons ask for no coding but chunks; read as bytes up to the close, the body would be another one. */
+    @Test
+    fun `a response in an unknown transfer coding is not passed on`() {
+        val accepted = listOf("chunk", "gzip, chunked", "chunknoise").filter { coding ->
+            val server = Server()
+            server.write("${HEAD}Transfer-Encoding: $coding\r\n\r\n2\r\n{}\r\n0\r\n\r\n")
+            server.close()
+            "end" in server.received
+        }
+        assertEquals(emptyList(), accepted)
+    }
+
     /** Waits for the rest of a response that may have begun inside the body, but not for ever. */
     @Test
     fun `a body that ends as a response begins is passed on after a moment`() {
