--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EndpointSender.kt
@@ -98,7 +98,7 @@
     var connectionNumber: Long? = null
         internal set
 
-    /** Number of reads in which the response arrived; a response of one read was not interrupted. */
+    /** Number of reads in which the response arrived; bytes sent at several moments may have been read together. */
     val reads: Int get() = connection?.reads ?: endedReads
     internal var endedReads = 0
     internal var isCancelled = false
