Leave a response whole that arrives in two reads with the end of a line behind it

Found by the review: a sound response that came as its head and then its body with CR LF behind it was broken off, each time at a server that ends its bodies so; in one read it passed.

Change: the end of a line behind a body is not taken for noise that began inside it. The connection is closed after it as before.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InterruptionDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/InterruptionDetector.kt
@@ -37,7 +37,14 @@
         lastReadBehind = read
         val beginsResponse = bytes.getByte(bytes.readerIndex()) == ResponseMatcher.FIRST_BYTE
         // Noise that was read together with a later part of the body may have begun before the end of the body.
-        val mayBeNoise = !beginsResponse && read == endRead && read > headRead
+        val mayBeNoise = !beginsResponse && !bytes.isLineEnd() && read == endRead && read > headRead
         return mayBeNoise || innerHeads.findsBehind(bytes)
     }
+
+    /** Whether these are the end of a line, which some servers send behind each body. */
+    private fun ByteBuf.isLineEnd() = readableBytes() <= LINE_END.length && toString(Charsets.US_ASCII) in LINE_END
+
+    private companion object {
+        const val LINE_END = "\r\n"
+    }
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/InterruptedResponseTest.kt
@@ -162,6 +162,16 @@
         assertEquals(emptyList(), broken)
     }
 
+    /** Some servers end each body with an empty line. */
+    @Test
+    fun `a whole response that arrives in two reads stays whole when the end of a line follows`() {
+        val whole = "$HEAD${lengthOf(BODY)}$BODY"
+        val outcomes = listOf("\r\n", "\n").map { end ->
+            outcomeOf(whole, HEAD.length, whole.drop(HEAD.length) + end, Arrival.TWO_READS)
+        }
+        assertEquals(List(2) { "200 $BODY end" }, outcomes)
+    }
+
     @Test
     fun `a chunk that begins with a status line is a part of its response`() {
         val server = Server()
