--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/FaultyEndpoint.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/FaultyEndpoint.kt
@@ -212,13 +212,7 @@
         val others = List(1 + random.nextInt(MAX_OTHERS)) { otherThan(response, whole) }
         val head = whole.indexOf(HEAD_END) + HEAD_END.length
         val edges = whole.indices.filter { it > head && whole.startsWith(EVENT_END, it - EVENT_END.length) }
-        val exact = whole.length - others.sumOf { it.length }
-        val cut = when {
-            exact >= head && record.isLikely(EXACT_PERCENT) -> exact
-            head == whole.length || record.isLikely(HEAD_PERCENT) -> 1 + random.nextInt(head - 1)
-            edges.isNotEmpty() && record.isLikely(EVENT_EDGE_PERCENT) -> edges.random(random)
-            else -> head + random.nextInt(whole.length - head)
-        }
+        val cut = cutOf(whole, head, edges, fills = others.sumOf { it.length })
         if (cut >= head && framing != Framing.CLOSE && record.isLikely(FILLING_PERCENT)) {
             // Limit: noise that fills a body to exactly its length, or that came in the only read of the response.
             send(whole.take(cut))
@@ -226,18 +220,32 @@
             end(mayClose = true)
             return
         }
-        // Limit: a response without an id that was read together with the part of the body before it. It is no event.
         val isAtEvent = framing != Framing.CHUNKED && record.hasEvents(response.call) && cut in edges
+        // Limit: a response without an id that was read together with the part of the body before it.
+        val isOwnRead = (others.first() in WITHOUT_ID && !isAtEvent) || random.nextBoolean()
+        goOn(whole, cut, others.first(), isOwnRead)
+        others.drop(1).forEach { send(foreign = it) }
+        if (random.nextBoolean()) end(mayClose = true)
+    }
+
+    /** Place in a response at which it stops: where [fills] bytes are left, in its head, at an event or anywhere. */
+    private fun cutOf(whole: String, head: Int, edges: List<Int>, fills: Int) = when {
+        whole.length - fills >= head && record.isLikely(EXACT_PERCENT) -> whole.length - fills
+        head == whole.length || record.isLikely(HEAD_PERCENT) -> 1 + random.nextInt(head - 1)
+        edges.isNotEmpty() && record.isLikely(EVENT_EDGE_PERCENT) -> edges.random(random)
+        else -> head + random.nextInt(whole.length - head)
+    }
+
+    /** Sends [whole] up to [cut], then [other]: a read may end where [whole] would have ended. */
+    private fun goOn(whole: String, cut: Int, other: String, isOwnRead: Boolean) {
         val splitsAtEnd = record.isLikely(SPLIT_PERCENT)
-        if ((others.first().hasNoId() && !isAtEvent) || random.nextBoolean()) {
+        if (isOwnRead) {
             send(whole.take(cut))
             steps += Step(isForeign = false) { pause = random.nextInt(LONG_PAUSE) }
-            send(foreign = others.first(), splitAt = (whole.length - cut).takeIf { splitsAtEnd })
+            send(foreign = other, splitAt = (whole.length - cut).takeIf { splitsAtEnd })
         } else {
-            send(whole.take(cut), foreign = others.first(), splitAt = whole.length.takeIf { splitsAtEnd })
+            send(whole.take(cut), foreign = other, splitAt = whole.length.takeIf { splitsAtEnd })
         }
-        others.drop(1).forEach { send(foreign = it) }
-        if (random.nextBoolean()) end(mayClose = true)
     }
 
     /** Bytes of another response than [response], to the same call, an earlier one of this connection or none. */
@@ -259,8 +267,6 @@
 
     private fun SentResponse.bytes(framing: Framing) = head() + framing.encode(body, body.split(random))
 
-    private fun String.hasNoId() = this in WITHOUT_ID
-
     private fun SentResponse.head(): String {
         val isRefusal = !isRun && status != MISDIRECTED
         val names = listOfNotNull(
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
@@ -51,7 +51,8 @@
         caller.connect(exchange)
         ProxyCall(callOf(caller.id, request), caller, services).start()
     }
-    private val record = EndpointRecord(random, { bodies[it].orEmpty() }) { kinds.getValue(it).kind == RouteKind.STREAM }
+    private val record =
+        EndpointRecord(random, { bodies[it].orEmpty() }, { kinds.getValue(it).kind == RouteKind.STREAM })
     private val connections = HashMap<InetSocketAddress, ArrayList<FaultyEndpoint>>()
     private val maxConnections = 1 + random.nextInt(MAX_CONNECTIONS)
     private val directory = EndpointDirectory(clock)
@@ -92,7 +93,8 @@
         // A pipelined call begins when those before it have ended.
         repeat(STEPS) { if (pipelined.any { it.isConnected && it.ends == 0 }) step() }
         connections.values.forEach { all -> all.toList().forEach { it.advance() } }
-        return record.violations + calls.flatMap(::check) + checkPipelined() + connections.values.flatten().filter { it.isKeptThoughDirty }
+        val kept = connections.values.flatten().filter { it.isKeptThoughDirty }
+        return record.violations + calls.flatMap(::check) + checkPipelined() + kept
             .map { "a connection with bytes that belong to no request was kept" }
     }
 
@@ -140,23 +142,26 @@
         own != null && own.isWhole && own.status == status && own.body == body && own.signature == signature
 
     /**
-     * Whether a caller got consecutive events, each run's from where its sending asked for them, and the end only if the
-     * endpoint of the last run ended it.
+     * Whether a caller got consecutive events, each run's from where its sending asked for them, and the end only if
+     * the endpoint of the last run ended it.
      */
     private fun Caller.matchesEvents(sent: List<SentResponse>): Boolean {
         val received = events()
         val runs = received.map { RUN.find(it)?.groupValues?.last()?.toInt() ?: -1 }
         val isInOrder = received.indices.all { index ->
             val run = sent.getOrNull(runs[index])
-            val begins = index == 0 || runs[index - 1] != runs[index]
-            received[index].startsWith("id: ${index + 1}\n") && run != null && received[index] in run.body &&
-                (!begins || (run.lastEvent == index && runs.take(index).none { it >= runs[index] }))
+            val begins = runs.indexOf(runs[index]) == index
+            val isNext = index == 0 || runs[index - 1] <= runs[index]
+            val isSent = run != null && received[index] in run.body && received[index].startsWith("id: ${index + 1}\n")
+            isSent && isNext && (!begins || run?.lastEvent == index)
         }
-        val own = sent.lastOrNull()
-        val isEnd = own != null && own.isWhole && own.isAsked && own.status == OK &&
-            (runs.last() == sent.lastIndex || own.body.isEmpty())
         val isStart = parts.endsWith(EVENT_END) && status == OK && signature == sent.getOrNull(runs.first())?.signature
-        return isStart && isInOrder && (!isComplete || (received.size == EVENTS && isEnd))
+        return isStart && isInOrder && (!isComplete || (received.size == EVENTS && sent.isEndedBy(runs.last())))
+    }
+
+    private fun List<SentResponse>.isEndedBy(run: Int): Boolean {
+        val own = last()
+        return own.isWhole && own.isAsked && own.status == OK && (run == lastIndex || own.body.isEmpty())
     }
 
     private fun Caller.events() = parts.split(EVENT_END).dropLast(1).map { it + EVENT_END }
@@ -168,8 +173,10 @@
         val data = received.joinToString("") { it.substringAfter("data: ").removeSuffix("\n") }
         val isWhole = received.size == EVENTS && record.responses[caller.id].orEmpty().last().isWhole
         return when {
-            stored.isEmpty() && caller.isComplete && kinds.getValue(caller.id).isStateful -> "${caller.id} is not stored"
-            stored.isNotEmpty() && (stored.single() != data || !isWhole) -> "${caller.id} is stored as $stored, not $data"
+            stored.isEmpty() && caller.isComplete && kinds.getValue(caller.id).isStateful ->
+                "${caller.id} is not stored"
+            stored.isNotEmpty() && (stored.single() != data || !isWhole) ->
+                "${caller.id} is stored as $stored, not $data"
             else -> null
         }
     }
