Tell an error page that ends a chunk from the chunk

Cause: took a read for one that begins before the body whenever the decoder had consumed more than the body's part; it consumes the end of a chunk in the same step. Change: only a read that doesn't begin as a response does can begin with the size or the end of a chunk.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
@@ -26,13 +26,14 @@
 
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (buffer.isReadable) matcher.bytesArrived(buffer)
-        val isFirst = isReadStart
-        isReadStart = false
         val start = buffer.readerIndex()
+        // What the decoder takes from a read before a body, the size or the end of a chunk, begins otherwise.
+        val mayBeginBeforeBody = isReadStart && buffer.isReadable && buffer.getByte(start) != ResponseMatcher.FIRST_BYTE
+        isReadStart = false
         val decoded = out.size
         super.decode(context, buffer, out)
         val body = (out.getOrNull(decoded) as? HttpContent)?.content()?.readableBytes()
-        if (isFirst && buffer.readerIndex() - start != body) matcher.readBeganBeforeBody()
+        if (mayBeginBeforeBody && buffer.readerIndex() - start != body) matcher.readBeganBeforeBody()
     }
 
     override fun decodeLast(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/PipelinedCallers.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/PipelinedCallers.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
@@ -56,6 +57,7 @@
             if (message is HttpResponse) received += "${message.headers()["Attempt"]} ${message.status().code()} "
             if (message is HttpContent) received += received.removeLast() + message.content().toString(Charsets.UTF_8)
             if (message is LastHttpContent) received += received.removeLast() + COMPLETE
+            ReferenceCountUtil.release(message)
         }
         return received
     }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseFuzzTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseFuzzTest.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.call
 
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.fail
 
 /**
@@ -20,7 +21,13 @@
         fail("${broken.size} of $schedules schedules, seeds ${broken.keys.take(SHOWN_SEEDS)}; seed $seed: $rules")
     }
 
+    @Test
+    fun `a page without an id inside a chunk that ends in the same read is told from the chunk`() {
+        assertEquals(emptyList(), ResponseSchedule(CHUNK_ENDS_IN_READ).play())
+    }
+
     private companion object {
+        const val CHUNK_ENDS_IN_READ = 38_153L
         const val SCHEDULES = 10_000L
         const val SHOWN_SEEDS = 10
     }
