--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -122,9 +122,8 @@
             BodyVerdict.UNMATCHED -> if (matcher.hasSkippedTooMuch) fail("responses to other requests without end")
             BodyVerdict.INTERRUPTED -> fail(INTERRUPTED)
         }
-        if (content is LastHttpContent && matcher.isInterruptedIn(content.trailingHeaders())) fail(INTERRUPTED)
         // The listener may have aborted the exchange in onData.
-        if (content is LastHttpContent && listener === current && matcher.endArrived()) {
+        if (content is LastHttpContent && listener === current && matcher.endArrived(content.trailingHeaders())) {
             if (!isWritten) matcher.taint()
             // Bytes behind the response, and the end of the connection, may have arrived together with it.
             if (matcher.mayBeInterrupted) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -181,12 +181,10 @@
     /** Whether more bytes were skipped than a response to another request has. */
     val hasSkippedTooMuch: Boolean get() = skippedBytes > MAX_SKIPPED_BYTES
 
-    /** Whether another response has begun inside [trailers], the header lines behind the last chunk of a body. */
-    fun isInterruptedIn(trailers: HttpHeaders): Boolean = state == State.RECEIVING && trailers.holdStatusLine()
-
-    /** Called at the end of each response; whether it was the one to the request. */
-    fun endArrived(): Boolean {
+    /** Called at the end of each response, with the [trailers] of its chunks; whether it was the one to the request. */
+    fun endArrived(trailers: HttpHeaders): Boolean {
         val isOwn = state == State.RECEIVING
+        if (isOwn && trailers.holdStatusLine()) isInterrupted = true
         isAtStart = true
         endRead = readNumber
         state = when (state) {
