Follow the linter in the limiter's and the exchange's code

Cause: function counts and parameter lists above the linter's limits. Change: the lag is a property, the disturbance of a test fleet one parameter; same checks and bounds.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -71,7 +71,7 @@
         unresponsiveDaemons = { exchange().silentCount() },
         daemonCount = { exchange().daemonCount() },
         reportDelay = { if (exchange().selection.isMesh) Duration.ZERO else RELAYED_REPORT_DELAY },
-        reportLag = { exchange().reportLag() },
+        reportLag = { exchange().reportLag },
     )
 
     /** Heartbeat for [receiver] with this daemon's state. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/AccountRateLimiter.kt
@@ -212,7 +212,8 @@
             changedAt = clock.now()
             demand.recordCall()
             val isFree = level > freeThreshold(admissionClass)
-            val mayUseShare = admissionClass == AdmissionClass.UNDER_WAY && level > lateShares()
+            val lateShares = lateCalls(account.ratePerSecond, reportLag(), capacity)
+            val mayUseShare = admissionClass == AdmissionClass.UNDER_WAY && level > lateShares
             val fits = isFree || (mayUseShare && shareLevel >= 1)
             if (fits) {
                 admitted++
@@ -294,16 +295,11 @@
             val isLimited = admissionClass == AdmissionClass.NEW && isBusy
             val fraction = if (isLimited) BUSY_NEW_THRESHOLD else baseThreshold(admissionClass)
             val unreported = elsewhere * reportDelay().toDouble(DurationUnit.SECONDS)
-            val late = elsewhere * reportLag().toDouble(DurationUnit.SECONDS)
             val lowest = capacity * UNDER_WAY_THRESHOLD + unreported.coerceAtMost(capacity * MAX_UNREPORTED) +
-                late.coerceAtMost(capacity * MAX_LATE)
+                lateCalls(elsewhere, reportLag(), capacity)
             return maxOf(capacity * fraction, lowest)
         }
 
-        /** Calls that the daemons have admitted by their shares of the refill and that are reported late. */
-        private fun lateShares(): Double =
-            (account.ratePerSecond * reportLag().toDouble(DurationUnit.SECONDS)).coerceAtMost(capacity * MAX_LATE)
-
         /** This daemon's share of the refill: by arrival rate, after an equal share for each unresponsive one. */
         private fun refillShare(): Double {
             if (clock.now() - startedAt < STARTUP_TIME) return 1.0 / daemonCount().coerceAtLeast(1)
@@ -353,9 +349,6 @@
         /** Largest fraction of the capacity that is kept for calls not yet reported. */
         const val MAX_UNREPORTED = 0.35
 
-        /** Largest fraction of the capacity that is kept for calls whose reports late event loops hold up. */
-        const val MAX_LATE = 0.45
-
         /** Unreported usage, as a fraction of the burst, that is reported to the other daemons at once. */
         const val REPORT_FRACTION = 0.02
 
@@ -366,3 +359,10 @@
         val MAX_RETRY_AFTER = 1.seconds
     }
 }
+
+/** Largest fraction of a bucket's capacity that is kept for calls whose reports late event loops hold up. */
+private const val MAX_LATE = 0.45
+
+/** Calls, admitted at [perSecond], whose reports are held up for [lag]; at most a part of [capacity]. */
+private fun lateCalls(perSecond: Double, lag: Duration, capacity: Double): Double =
+    (perSecond * lag.toDouble(DurationUnit.SECONDS)).coerceAtMost(capacity * MAX_LATE)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
@@ -51,7 +51,7 @@
     private val currentLeaves = Cached(clock) {
         peers.all.filter { it.heartbeat?.relay == self.name && peers.isHeard(it) }
     }
-    private val reportLag = ReportLag(clock)
+    private val roundTrips = ReportLag(clock)
     private var used: Member? = null
     private var usedSince = -Duration.INFINITE
 
@@ -102,7 +102,8 @@
             heartbeat.relays.forEach { reportedRelays[it] = now }
         }
         if (role == PeerRole.OWN_RELAY) advertisedDaemons.receive(heartbeat.advertised)
-        if (role != PeerRole.LEAF) peer.echoedSentAt?.let { reportLag.record(it, isReply = role == PeerRole.OWN_RELAY) }
+        val echoedSentAt = peer.echoedSentAt.takeIf { role != PeerRole.LEAF }
+        if (echoedSentAt != null) roundTrips.record(echoedSentAt, isReply = role == PeerRole.OWN_RELAY)
         return role == PeerRole.LEAF
     }
 
@@ -126,7 +127,7 @@
     fun silentCount(): Int = counts.value.silent
 
     /** How much later than on idle event loops the other daemons' usage becomes known here. */
-    fun reportLag(): Duration = reportLag.value(hops = if (selection.isMesh) 1 else RELAYED_HOPS)
+    val reportLag: Duration get() = roundTrips.value(hops = if (selection.isMesh) 1 else RELAYED_HOPS)
 
     /** Entry daemons that callers should use; [isSelfServing] tells whether this daemon itself may be used. */
     fun advertised(isSelfServing: Boolean): List<Member> {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/FleetExchangeTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/FleetExchangeTest.kt
@@ -116,7 +116,8 @@
     @Test
     fun `the tolerance holds while relays are cut off from the others`() {
         SEEDS.forEach { seed ->
-            val (most, _) = admittedCalls(size = 40, seed, offeredPerSecond = 7 * 35.0, cutRelays = 4)
+            val cut = Disturbance(cutRelays = 4)
+            val (most, _) = admittedCalls(size = 40, seed, offeredPerSecond = 7 * 35.0, disturbance = cut)
             assertTrue(most <= tolerated(35.0), "seed=$seed most=$most")
         }
     }
@@ -130,7 +131,7 @@
             }
         }
         SEEDS.forEach { seed ->
-            val (most, _) = admittedCalls(size = 40, seed, offeredPerSecond = 7.5 * 5.0, cutRelays = 4, rate = 5.0)
+            val (most, _) = admittedCalls(size = 40, seed, 7.5 * 5.0, rate = 5.0, Disturbance(cutRelays = 4))
             assertTrue(most <= tolerated(5.0), "cut off, seed=$seed most=$most of ${tolerated(5.0)}")
         }
     }
@@ -138,9 +139,10 @@
     /** Guards against calls beyond the limit while busy event loops handle the reports of usage late. */
     @Test
     fun `the tolerance holds while the event loops of all daemons are late`() {
+        val late = Disturbance(maxLoopDelay = 300.milliseconds)
         listOf(14, 40, 60).forEach { size ->
             SEEDS.forEach { seed ->
-                val (most, _) = admittedCalls(size, seed, offeredPerSecond = 7.5 * 52.0, rate = 52.0, isLate = true)
+                val (most, _) = admittedCalls(size, seed, offeredPerSecond = 7.5 * 52.0, rate = 52.0, late)
                 assertTrue(most <= tolerated(52.0), "size=$size seed=$seed most=$most of ${tolerated(52.0)}")
             }
         }
@@ -167,19 +169,14 @@
         size: Int,
         seed: Int,
         offeredPerSecond: Double,
-        cutRelays: Int = 0,
         rate: Double = 35.0,
-        isLate: Boolean = false,
+        disturbance: Disturbance = Disturbance(),
     ): Pair<Int, Int> {
         val random = Random(seed)
         val club = account(rate, burst = rate)
-        val loops = if (isLate) Random(seed + 1000) else null
-        val fleet = VirtualFleet(
-            size = size,
-            random = random,
-            accounts = listOf(club),
-            loopDelay = { loops?.let { MAX_LOOP_DELAY * it.nextDouble() } ?: Duration.ZERO },
-        )
+        val loops = Random(seed + 1000)
+        val fleet = VirtualFleet(size, random = random, accounts = listOf(club))
+        fleet.loopDelay = { disturbance.maxLoopDelay * loops.nextDouble() }
         fleet.run(10.seconds)
         val admitted = ArrayList<Duration>()
         var refused = 0
@@ -189,7 +186,7 @@
             fleet.run((1000 / offeredPerSecond * (0.5 + random.nextDouble())).milliseconds)
             val isCutTime = fleet.clock.now() > start + 4.seconds && fleet.clock.now() < start + 8.seconds
             fleet.heal()
-            if (isCutTime) fleet.cutOff(fleet.daemons.filter { it.exchange.isRelay() }.take(cutRelays))
+            if (isCutTime) fleet.cutOff(fleet.daemons.filter { it.exchange.isRelay() }.take(disturbance.cutRelays))
             val decision = fleet.daemons.random(random).state.rateLimiter.admit(club)
             if (decision is RateLimitDecision.Admitted) admitted.add(fleet.clock.now()) else refused++
             if (fleet.clock.now() >= nextReport) {
@@ -201,12 +198,17 @@
         return most to refused
     }
 
+    /**
+     * What goes wrong in a fleet.
+     *
+     * @property cutRelays number of relays that are cut off for some seconds.
+     * @property maxLoopDelay longest time that a heartbeat waits for a busy event loop.
+     */
+    private data class Disturbance(val cutRelays: Int = 0, val maxLoopDelay: Duration = Duration.ZERO)
+
     private companion object {
         val SEEDS = 1..6
 
-        /** Longest time that a heartbeat waits for a busy event loop. */
-        val MAX_LOOP_DELAY = 300.milliseconds
-
         /** Calls that the tolerance allows an account of [rate] calls a second and a burst of as many in 5 s. */
         fun tolerated(rate: Double) = (rate * 5 + rate) * 1.1 + 20
     }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
@@ -19,11 +19,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/**
- * Entry daemons that exchange heartbeats over a network in virtual time.
- *
- * @param loopDelay time that a received heartbeat waits for the event loop of its receiver.
- */
+/** Entry daemons that exchange heartbeats over a network in virtual time. */
 internal class VirtualFleet(
     size: Int,
     private val zones: Int = 3,
@@ -31,9 +27,11 @@
     private val lossRate: Double = 0.0,
     accounts: List<ClientAccount> = emptyList(),
     private val capacityOf: (Int) -> Double = { 1.0 },
-    private val loopDelay: () -> Duration = { Duration.ZERO },
 ) {
     val clock = VirtualClock()
+
+    /** Time that a received heartbeat waits for the event loop of its receiver. */
+    var loopDelay: () -> Duration = { Duration.ZERO }
     private val scheduler = VirtualScheduler(clock)
     private val config = GatewayConfig(1, emptyList(), emptyList(), accounts, LIMITS)
     private val cut = HashSet<String>()
