Shed calls by event-loop lag before the work on them

LoopLagMeter measures how late the loop runs its tick. Heartbeats carry the overload, through relays too, and address answers leave out overloaded daemons but keep half of each zone. The queue refuses calls that can't be answered in time, and orders by class and account while the loop is late.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmissionControl.kt
@@ -31,8 +31,14 @@
      *
      * @property account null on public routes.
      * @property fingerprint identifies the call's content.
+     * @property admissionClass class by which the rate limit admitted it.
      */
-    data class Admitted(val route: Route, val account: ClientAccount?, val fingerprint: String) : AdmissionDecision
+    data class Admitted(
+        val route: Route,
+        val account: ClientAccount?,
+        val fingerprint: String,
+        val admissionClass: AdmissionClass = AdmissionClass.UNDER_WAY,
+    ) : AdmissionDecision
 
     /** The call is refused and has not run; [account] and [admissionClass] are set when the rate limit refused it. */
     data class Refused(
@@ -114,7 +120,7 @@
             call.program?.let { activity.recordCall(programKey(account, it)) } ?: AdmissionClass.UNDER_WAY
         val decision = account?.let { rateLimiter.admit(it, admissionClass) } ?: RateLimitDecision.Admitted
         return when (decision) {
-            is RateLimitDecision.Admitted -> AdmissionDecision.Admitted(route, account, content)
+            is RateLimitDecision.Admitted -> AdmissionDecision.Admitted(route, account, content, admissionClass)
             is RateLimitDecision.Exceeded ->
                 AdmissionDecision.Refused(
                     status = TOO_MANY_REQUESTS,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmittedCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmittedCall.kt
@@ -14,6 +14,7 @@
  * @property account null on public routes.
  * @property fingerprint identifies the call's content; equal when the caller repeats the call.
  * @property arrivedAtMillis arrival in Unix milliseconds.
+ * @property isStarting whether it is the first call of its program.
  */
 data class AdmittedCall(
     val request: CallerRequest,
@@ -24,6 +25,7 @@
     val fingerprint: String,
     val arrivedAt: Duration,
     val arrivedAtMillis: Long,
+    val isStarting: Boolean = false,
 ) {
     /** Name of the account, empty on public routes. */
     val accountName: String get() = account?.name.orEmpty()
@@ -44,6 +46,8 @@
             latestStart = arrivedAt + (attributes.programDeadline ?: route.targetLatency),
             expiresAt = expiresAt,
             arrivedAt = arrivedAt,
+            account = accountName,
+            isStarting = isStarting,
         )
 
     /** Headers for the endpoint of [state], with [left] until the deadline; a stream resumes after [lastEventId]. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
@@ -4,10 +4,9 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
-import java.util.Locale
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.DurationUnit
 
 /**
  * Names of the HTTP headers that the scheduler reads and sets; the platform's integration supplies them.
@@ -114,6 +113,16 @@
 internal fun refusalHeaders(names: CallHeaderNames, attemptId: String?, retryAfter: Duration?): HttpHeaders {
     val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
     attemptId?.let { headers[names.attemptId] = it }
-    retryAfter?.let { headers["Retry-After"] = "%.3f".format(Locale.ROOT, it.toDouble(DurationUnit.SECONDS)) }
+    retryAfter?.let { headers["Retry-After"] = secondsText(it) }
     return headers
 }
+
+/** Seconds with three decimals, without the parsing of a format string, as rejections are frequent under overload. */
+private fun secondsText(time: Duration): String {
+    val millis = (time + HALF_MILLISECOND).inWholeMilliseconds
+    return "${millis / MILLIS}.${(millis % MILLIS).toString().padStart(DECIMALS, '0')}"
+}
+
+private const val MILLIS = 1000
+private const val DECIMALS = 3
+private val HALF_MILLISECOND = 500.microseconds
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -1,6 +1,5 @@
 package io.jasmineford.gateway.call
 
-import io.jasmineford.core.limit.DemandEstimate
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.config.Service
 import io.jasmineford.gateway.endpoint.EndpointChooser
@@ -8,7 +7,6 @@
 import io.jasmineford.gateway.endpoint.PlacementRequest
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * A call that waits for an endpoint.
@@ -27,11 +25,13 @@
  * Queues calls by service and assigns them to endpoints as these have free capacity.
  *
  * @param onArrival called with the name of the service of each call that is submitted.
+ * @param isPressed whether the daemon itself is overloaded, so that calls wait in another order.
  */
 class Dispatcher(
     private val chooser: EndpointChooser,
     private val clock: MonotonicClock,
     private val onArrival: (service: String) -> Unit = {},
+    private val isPressed: () -> Boolean = { false },
 ) {
     private val queues = HashMap<String, WaitQueue<WaitingCall>>()
     private val completions = HashMap<String, CompletionStats>()
@@ -45,14 +45,15 @@
         val service = call.placement.service
         onArrival(service.name)
         val queue = queues.getOrPut(service.name) { WaitQueue { it.scheduling } }
-        val wait = expectedWait(service, queue.size)
+        val stats = completionsOf(service.name)
+        val wait = stats.wait(clock.now(), queue.size)
         if (!chooser.isServable(call.placement)) {
             refuseUnservable(call)
             return
         }
-        val available = call.scheduling.expiresAt - clock.now() - completionsOf(service).serviceTime
+        val available = call.scheduling.expiresAt - clock.now() - stats.serviceTime
         if (queue.size > 0 && wait > available) {
-            call.onRefused(wait.coerceAtMost(MAX_RETRY_AFTER))
+            call.onRefused(stats.retryAfter(clock.now(), queue.size))
         } else {
             queue.add(call)
             assignWaiting()
@@ -64,7 +65,7 @@
 
     /** Records that an endpoint of [service] finished a call in [duration], and assigns waiting calls. */
     fun completed(service: Service, duration: Duration) {
-        completionsOf(service).record(clock.now(), duration)
+        completionsOf(service.name).record(clock.now(), duration)
         assignWaiting()
     }
 
@@ -72,15 +73,24 @@
     fun assignWaiting() {
         if (isAssigning) return
         isAssigning = true
-        queues.values.forEach(::drain)
+        queues.forEach(::drain)
         isAssigning = false
     }
 
-    private fun drain(queue: WaitQueue<WaitingCall>) {
+    private fun drain(service: String, queue: WaitQueue<WaitingCall>) {
         if (queue.size == 0) return
         val now = clock.now()
-        queue.removeExpired(now, MIN_SERVICE_TIME).forEach { it.onRefused(Duration.ZERO) }
-        for (call in queue.inOrder(now)) {
+        val stats = completionsOf(service)
+        queue.removeExpired(now, MIN_SERVICE_TIME).forEach { it.onRefused(stats.retryAfter(now, queue.size)) }
+        val order = if (isPressed()) queue.inPressureOrder(now) else queue.inOrder(now)
+        val left = place(order, queue)
+        if (left.isNotEmpty()) refuseHopeless(left, queue, stats)
+    }
+
+    /** Places the calls of [order] while endpoints have free capacity; returns those that go on waiting, in order. */
+    private fun place(order: List<WaitingCall>, queue: WaitQueue<WaitingCall>): List<WaitingCall> {
+        val left = ArrayList<WaitingCall>()
+        order.forEachIndexed { index, call ->
             val state = chooser.choose(call.placement)
             when {
                 state != null -> {
@@ -93,21 +103,30 @@
                     refuseUnservable(call)
                 }
                 // Calls behind one that has to go to a certain version may have other endpoints.
-                call.placement.version == null -> break
+                call.placement.version == null -> return left + order.drop(index)
+                else -> left += call
             }
         }
+        return left
+    }
+
+    /** Refuses the calls of [order] that can't be answered in time at twice the present rate of completions. */
+    private fun refuseHopeless(order: List<WaitingCall>, queue: WaitQueue<WaitingCall>, stats: CompletionStats) {
+        val now = clock.now()
+        if (!stats.isKnown(now) || !stats.takeCheck(now)) return
+        var ahead = 0
+        val hopeless = ArrayList<WaitingCall>()
+        order.forEach { call ->
+            val soonest = now + stats.wait(now, ahead) / CERTAINTY + stats.shortest
+            if (soonest > call.scheduling.expiresAt) hopeless += call else ahead++
+        }
+        hopeless.forEach { if (queue.remove(it)) it.onRefused(stats.retryAfter(now, queue.size)) }
     }
 
     private fun refuseUnservable(call: WaitingCall) =
         call.onRefused(if (call.placement.version == null) REPLACEMENT_RETRY_AFTER else Duration.ZERO)
 
-    /** Expected wait of a call behind [ahead] others, by the rate of completions; zero while that is unknown. */
-    private fun expectedWait(service: Service, ahead: Int): Duration {
-        val perSecond = completionsOf(service).rate.perSecond(clock.now())
-        return if (perSecond <= 0) Duration.ZERO else (ahead / perSecond).seconds
-    }
-
-    private fun completionsOf(service: Service) = completions.getOrPut(service.name) { CompletionStats() }
+    private fun completionsOf(service: String) = completions.getOrPut(service) { CompletionStats() }
 
     private companion object {
         /** Lower bound of the time an endpoint takes for any call. */
@@ -116,32 +135,7 @@
         /** Time in which an endpoint that takes the place of one that leaves may be registered. */
         val REPLACEMENT_RETRY_AFTER = 200.milliseconds
 
-        /** Longest retry time given to a caller. */
-        val MAX_RETRY_AFTER = 2.seconds
-    }
-}
-
-/** Smoothed completion rate and duration of a service's calls. */
-private class CompletionStats {
-    /** Completed calls per second. */
-    val rate = DemandEstimate(RATE_AVERAGING_TIME)
-
-    /** Exponentially weighted mean duration of a call; zero before the first one. */
-    var serviceTime: Duration = Duration.ZERO
-        private set
-
-    /** Records a call that ended at [now] after [duration]. */
-    fun record(now: Duration, duration: Duration) {
-        rate.add(now)
-        val isFirst = serviceTime == Duration.ZERO
-        serviceTime = if (isFirst) duration else serviceTime + (duration - serviceTime) * TIME_WEIGHT
-    }
-
-    private companion object {
-        /** Time constant of the averaged rate. */
-        val RATE_AVERAGING_TIME = 1.seconds
-
-        /** Weight of the newest sample. */
-        const val TIME_WEIGHT = 0.1
+        /** The rate of completions varies; a call is refused only if it would be late at this multiple of it. */
+        const val CERTAINTY = 2.0
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
@@ -17,6 +17,7 @@
 import io.jasmineford.gateway.http.CallerExchange
 import io.jasmineford.gateway.http.CallerHandler
 import io.jasmineford.gateway.http.CallerRequest
+import io.jasmineford.gateway.limit.AdmissionClass
 import io.jasmineford.gateway.settings.PromisedBounds
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -27,6 +28,7 @@
  * Handles callers' requests: runs the admission checks, refuses or starts the call.
  *
  * @param openCalls starts the calls.
+ * @param loadShedder rejects calls while the daemon is overloaded; null to take all.
  * @param accepts whether a call that ends by the given time may be started, as the daemon may be stopping.
  */
 internal class CallerRequestHandler(
@@ -34,6 +36,7 @@
     private val storeState: () -> StoreState,
     bounds: PromisedBounds,
     private val openCalls: OpenCalls,
+    private val loadShedder: LoadShedder? = null,
     private val accepts: (expiresAt: Duration) -> Boolean,
 ) : CallerHandler {
     private val names = services.names
@@ -46,6 +49,7 @@
     )
 
     override fun handle(request: CallerRequest, exchange: CallerExchange) {
+        if (loadShedder?.rejects(request, exchange) == true) return
         val attributes = names.read(request)
         if (attributes == null) {
             refuse(request, exchange, AdmissionDecision.Refused(BAD_REQUEST, RefusalReason.BAD_HEADERS))
@@ -78,8 +82,9 @@
             account = decision.account,
             service = service,
             fingerprint = decision.fingerprint,
-            arrivedAt = services.clock.now(),
+            arrivedAt = services.clock.now() - (loadShedder?.requestAge ?: Duration.ZERO),
             arrivedAtMillis = services.wallMillis(),
+            isStarting = decision.admissionClass == AdmissionClass.NEW,
         )
         val reason = when {
             !accepts(call.expiresAt) -> RefusalReason.STOPPING
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -15,6 +15,10 @@
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.http.CallerServer
 import io.jasmineford.gateway.http.MemoryBudget
+import io.jasmineford.gateway.load.LoopLagMeter
+import io.jasmineford.gateway.load.OverloadLog
+import io.jasmineford.gateway.load.PressureGate
+import io.jasmineford.gateway.load.ThreadCpuTime
 import io.jasmineford.gateway.log.endpointRate
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
@@ -45,6 +49,9 @@
         exchange = { exchange },
     )
     private val view: StoreView = StoreView(node, ::endpointsChanged, ::zonesEvacuated) { peers.batchTime(it) }
+    private val lagMeter = LoopLagMeter(node.clock, TICK_PERIOD, ThreadCpuTime())
+    private val pressureGate = PressureGate(node.clock, lagMeter)
+    private val overloadLog = OverloadLog(node.clock, lagMeter, pressureGate, node.log)
     private val membership: Membership = Membership(
         node = node,
         policy = HeartbeatPolicy(
@@ -65,6 +72,7 @@
         ),
         clock = node.clock,
         onArrival = state.serviceDemand::recordCall,
+        isPressed = { pressureGate.isOverloaded },
     )
     private val rateReader = NamedRateReader(names, node.log)
     private val leavingReader = LeavingReader(names, node.log, state.directory::recordLeaving)
@@ -110,6 +118,7 @@
             storeState = { StoreState(view.contact, view.config) },
             bounds = node.settings.bounds,
             openCalls = openCalls,
+            loadShedder = LoadShedder(names, pressureGate, state.activity, { view.config }, metrics),
             accepts = { shutdown.accepts(it) },
         ),
     )
@@ -137,6 +146,15 @@
         metrics.gauge("jasmineford_leaving_endpoints", "Endpoints whose responses say that they are leaving") {
             state.directory.all.count { it.isLeaving }.toDouble()
         }
+        metrics.gauge("jasmineford_loop_lag_seconds", "Time by which the event loop runs its timers late") {
+            lagMeter.lag.toDouble(DurationUnit.SECONDS)
+        }
+        metrics.gauge("jasmineford_call_cpu_seconds", "Smoothed CPU time of the event loop per call") {
+            lagMeter.cpuPerCall.toDouble(DurationUnit.SECONDS)
+        }
+        metrics.gauge("jasmineford_pressure", "Overload as told to the other daemons; 0 without") {
+            pressureGate.pressure
+        }
         metrics.gauge("jasmineford_store_contact_age_seconds", "Age of the newest proof of store contact") {
             view.contact.age().toDouble(DurationUnit.SECONDS)
         }
@@ -191,6 +209,9 @@
     }
 
     private fun tick() {
+        lagMeter.onTimer()
+        pressureGate.onTick()
+        overloadLog.onTick()
         state.countInFlight()
         contactProber.probeIfDue()
         if (state.rateLimiter.hasUnreportedUsage()) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/ProgramActivity.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/limit/ProgramActivity.kt
@@ -36,14 +36,24 @@
 
     /** Counts a call of [program] and returns its admission class. */
     fun recordCall(program: String): AdmissionClass {
+        val admissionClass = admissionClass(program)
         val count = countOf(program)
-        val admissionClass = classOf(count)
         val before = count.total
         count.own++
         recordChange(program, before, count.total)
         return admissionClass
     }
 
+    /** Admission class that a call of [program] would get now, without counting it. */
+    fun admissionClass(program: String): AdmissionClass {
+        val count = counts[program]
+        return when {
+            count == null || (count.total == 0 && !count.isBudgetSpent) -> AdmissionClass.NEW
+            count.isBudgetSpent || count.total > MAX_USUAL_CALLS -> AdmissionClass.EXCESSIVE
+            else -> AdmissionClass.UNDER_WAY
+        }
+    }
+
     /** Records that a turn of [program] was refused because its token budget is spent. */
     fun recordBudgetSpent(program: String) {
         countOf(program).isBudgetSpent = true
@@ -84,12 +94,6 @@
         return count
     }
 
-    private fun classOf(count: Count) = when {
-        count.isBudgetSpent || count.total > MAX_USUAL_CALLS -> AdmissionClass.EXCESSIVE
-        count.total == 0 -> AdmissionClass.NEW
-        else -> AdmissionClass.UNDER_WAY
-    }
-
     private fun sweep() {
         if (clock.now() - sweptAt < SWEEP_PERIOD) return
         sweptAt = clock.now()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
@@ -32,11 +32,14 @@
  * Relays send to each other periodically. Any other daemon sends to its relay, which replies at once: its echo dates
  * the reply, and the rate follows the daemon's need. A relay forwards the load of its leaves to the other relays, and
  * the load of all other daemons to each leaf.
+ *
+ * @param pressure overload of this daemon, as told to the others.
  */
 class EntryExchange(
     private val self: Member,
     private val peers: PeerTable,
     private val clock: MonotonicClock,
+    private val pressure: () -> Double = { 0.0 },
 ) {
     /** The registered entry daemons and the relays among them. */
     val selection = RelaySelection(self, clock)
@@ -96,8 +99,8 @@
         val role = roleOf(peer)
         if (role == PeerRole.LEAF && peer !in leaves) currentLeaves.invalidate()
         if (heartbeat.isFromRelay) {
-            heartbeat.ready.forEach { peers.byShortId[it]?.markRelayed(now, isReady = true) }
-            heartbeat.unready.forEach { peers.byShortId[it]?.markRelayed(now, isReady = false) }
+            heartbeat.ready.forEach { peers.byShortId[it]?.markRelayed(now, true, it in heartbeat.overloaded) }
+            heartbeat.unready.forEach { peers.byShortId[it]?.markRelayed(now, false, it in heartbeat.overloaded) }
             heartbeat.relays.forEach { reportedRelays[it] = now }
         }
         if (role == PeerRole.OWN_RELAY) advertisedDaemons.receive(heartbeat.advertised)
@@ -131,13 +134,17 @@
             return members.filter { it.name != self.name || isSelfServing }
         }
         val serving = peers.servingEntries() + listOfNotNull(self.takeIf { isSelfServing })
-        return if (selection.isMesh) serving else advertisedDaemons.select(serving)
+        val named = if (selection.isMesh) serving else advertisedDaemons.select(serving)
+        return named.withoutOverloaded { member ->
+            if (member.name == self.name) pressure() > 0 else peers.byName[member.name]?.isOverloaded == true
+        }
     }
 
     /** Adds to [heartbeat] what the exchange itself tells [receiver]. */
     fun addressed(heartbeat: Heartbeat, receiver: Peer): Heartbeat = when {
-        !isRelay() -> heartbeat.copy(relay = relay?.name)
+        !isRelay() -> heartbeat.copy(relay = relay?.name, pressure = pressure())
         roleOf(receiver) == PeerRole.LEAF -> heartbeat.copy(
+            pressure = pressure(),
             relay = self.name,
             daemons = counts.value.daemons,
             silent = counts.value.silent,
@@ -150,6 +157,8 @@
         else -> {
             val (ready, unready) = leaves.partition { it.isServing }
             heartbeat.copy(
+                pressure = pressure(),
+                overloaded = leaves.filter { it.isOverloaded }.map { it.member.shortId },
                 relay = self.name,
                 ready = ready.map { it.member.shortId },
                 unready = unready.map { it.member.shortId },
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/Peer.kt
@@ -38,6 +38,7 @@
     /** Whether the latest report of a relay says that callers may use this peer. */
     var isRelayedReady = false
         private set
+    private var isRelayedOverloaded = false
 
     /** Time of the latest direct or relayed sign of life; -[Duration.INFINITE] when there is none. */
     val lastAliveAt: Duration get() = maxOf(lastHeartbeatAt, relayedAt)
@@ -53,6 +54,10 @@
             heartbeat?.isReady == true && heartbeat?.isLeaving == false
         }
 
+    /** Whether the peer sheds calls, by the later one of its heartbeat and a relay's report. */
+    val isOverloaded: Boolean
+        get() = if (relayedAt > lastHeartbeatAt) isRelayedOverloaded else (heartbeat?.pressure ?: 0.0) > 0
+
     /** Whether the peer may have applied what it was told of endpoints: only then has it read their registrations. */
     val mayKnowRates: Boolean get() = heartbeat?.let { it.isReady && it.echo >= 0 } ?: false
 
@@ -60,7 +65,8 @@
     val echoedSentAt: Duration? get() = heartbeat?.let { sentAt[it.echo] }
 
     /** Records the report of a relay that it hears this peer. */
-    fun markRelayed(now: Duration, isReady: Boolean) {
+    fun markRelayed(now: Duration, isReady: Boolean, isOverloaded: Boolean = false) {
+        isRelayedOverloaded = isOverloaded
         relayedAt = now
         isRelayedReady = isReady
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -64,6 +64,8 @@
  * @property to incarnation of the receiver to which the sender addresses this message; -1 from older releases.
  * @property crashReports recent crashes of endpoints with the calls that were in work there.
  * @property responses ages in milliseconds of responses to calls in such crashes, by request fingerprint.
+ * @property pressure 0, or at least 1 while the sender sheds calls because its event loop lags.
+ * @property overloaded short ids of the daemons for which the sender relays that shed calls.
  */
 @Serializable
 data class Heartbeat(
@@ -92,6 +94,8 @@
     val crashReports: List<CrashReport> = emptyList(),
     val responses: Map<String, Long> = emptyMap(),
     val to: Long = -1,
+    val pressure: Double = 0.0,
+    val overloaded: List<Int> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/WaitQueueTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/WaitQueueTest.kt
@@ -56,4 +56,17 @@
         assertEquals(listOf("hopeless"), queue.removeExpired(2990.milliseconds, 20.milliseconds).map { it.first })
         assertEquals(listOf("possible"), order(3.seconds))
     }
+
+    /** Guards against programs that are cut in the middle, and against an account that takes all turns, under load. */
+    @Test
+    fun `under pressure programs under way come first and accounts take turns`() {
+        fun addOf(name: String, account: String, isStarting: Boolean = false, latest: Duration = 5.seconds) =
+            queue.add(name to SchedulingAttributes(0, latest, 10.seconds, 1.seconds, account, isStarting))
+        addOf("start", "a", isStarting = true, latest = 2.seconds)
+        addOf("hot 1", "hot", latest = 3.seconds)
+        addOf("hot 2", "hot", latest = 4.seconds)
+        addOf("single", "b")
+        assertEquals(listOf("hot 1", "single", "hot 2", "start"), queue.inPressureOrder(1.seconds).map { it.first })
+        assertEquals(listOf("start", "hot 1", "hot 2", "single"), order(1.seconds))
+    }
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
@@ -93,7 +93,8 @@
 
     inner class VirtualEntry(val member: Member) {
         val table = PeerTable(member, clock)
-        val exchange = EntryExchange(member, table, clock)
+        var pressure = 0.0
+        val exchange = EntryExchange(member, table, clock) { pressure }
         val contact = StoreContact(clock) { clock.now().inWholeMilliseconds }
         val state = EntryState(
             self = member,
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/peer/PeerMessageTest.kt
@@ -51,6 +51,16 @@
         assertEquals(whole, peerCbor.decodeFromByteArray<Heartbeat>(HexFormat.of().parseHex(hex)))
     }
 
+    @Test
+    fun `the bytes of the overload in a heartbeat are fixed, and without overload there are none`() {
+        val whole = Heartbeat("e", 1, 2, pressure = 1.5, overloaded = listOf(7))
+        val start = "bf6466726f6d61656b696e6361726e6174696f6e016873657175656e636502"
+        val hex = start + "687072657373757265fb3ff80000000000006a6f7665726c6f616465649f07ffff"
+        assertEquals(hex, HexFormat.of().formatHex(peerCbor.encodeToByteArray(whole)))
+        assertEquals(whole, peerCbor.decodeFromByteArray<Heartbeat>(HexFormat.of().parseHex(hex)))
+        assertEquals(start + "ff", HexFormat.of().formatHex(peerCbor.encodeToByteArray(Heartbeat("e", 1, 2))))
+    }
+
     /** Guards against absent parts that take their defaults. */
     @Test
     fun `a message that is cut at any byte is unreadable`() {
