Do less for each heartbeat and tick

Calls in flight at the neighbours are summed over what they report instead of over all endpoints times all neighbours; a mesh needs no list of relays to know that it has no other roles; the neighbours behind a heartbeat, the endpoints that name a rate and the crashes are gone through once, or not at all when there are none; the contact's age decides before the roles of the peers; a clock reading takes fewer calls. The decisions stay the same.

Interpreted (-Xint), a loop over one heartbeat of 90 bytes: content 200 -> 166 us and applying it 33 -> 29 us with 3 daemons, 812 -> 260 us and 81 -> 33 us with 60. With 3 daemons, the idle time of a process moved less than it varied.

--- a/jasmineford-core/src/main/kotlin/io/jasmineford/core/time/MonotonicClock.kt
+++ b/jasmineford-core/src/main/kotlin/io/jasmineford/core/time/MonotonicClock.kt
@@ -1,7 +1,7 @@
 package io.jasmineford.core.time
 
 import kotlin.time.Duration
-import kotlin.time.TimeSource
+import kotlin.time.Duration.Companion.nanoseconds
 
 /** Monotonic clock of one process. Readings of different processes are not comparable. */
 fun interface MonotonicClock {
@@ -11,6 +11,7 @@
 
 /** Returns a clock that reads the system's monotonic time since this call. */
 fun systemMonotonicClock(): MonotonicClock {
-    val origin = TimeSource.Monotonic.markNow()
-    return MonotonicClock { origin.elapsedNow() }
+    // Time marks of the standard library take several calls for each reading, and daemons read the clock very often.
+    val origin = System.nanoTime()
+    return MonotonicClock { (System.nanoTime() - origin).nanoseconds }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/PoisonCallDetector.kt
@@ -115,6 +115,7 @@
 
     private fun reportedCalls(): Set<String> {
         removeExpired()
+        if (crashes.isEmpty()) return emptySet()
         return crashes.flatMap { it.calls }.distinct().sortedByDescending(::count).take(MAX_REPORTED).toSet()
     }
 
@@ -139,6 +140,7 @@
         val responses = respondedAt.values.iterator()
         while (responses.hasNext() && responses.next() < oldest - RETENTION) responses.remove()
         contested.removeIf { it !in respondedAt }
+        if (crashes.isEmpty()) return
         val recent = crashes.filter { it.at >= oldest }.flatMap { it.calls }.toSet()
         crashes.removeIf { crash -> crash.at < oldest && crash.calls.none { it in recent } }
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -78,6 +78,7 @@
         val (contact, config) = storeState()
         val age = contact.age()
         val forwards = forwardedTo(receiver)
+        val forwarded = forwardedNeighbours(forwards)
         // A receiver that has echoed nothing yet knows no earlier usage to which changes could be added.
         val isComplete = receiver.heartbeat?.let { it.echo < 0 } ?: true
         val told = programsTold.put(receiver.member.name, activity.latestChange) ?: 0
@@ -89,8 +90,8 @@
             isLeaving = isLeaving,
             contactAgeMillis = if (age.isFinite()) age.inWholeMilliseconds else -1,
             configVersion = config?.version ?: -1,
-            inFlight = inFlightBehind(forwards),
-            demand = demandBehind(forwards),
+            inFlight = inFlightBehind(forwarded),
+            demand = demandBehind(forwarded),
             uses = rateLimiter.usage(isComplete) { source -> forwards(source.daemon, source.isRelay) },
             crashes = poisonCalls.counts(),
             crashReports = poisonCalls.reports(),
@@ -139,10 +140,12 @@
     /** Sums the calls in flight that the live neighbours report for each endpoint. */
     fun countInFlight() {
         countedAt = clock.now()
-        val neighbours = currentNeighbours.value
-        directory.all.forEach { state ->
-            state.inFlightAtPeers = neighbours.sumOf { it.heartbeat?.inFlight?.get(state.endpoint.id) ?: 0 }
+        // Neighbours report endpoints with calls only, of which there are far fewer than endpoints times neighbours.
+        val total = HashMap<String, Int>()
+        currentNeighbours.value.forEach { peer ->
+            peer.heartbeat?.inFlight?.forEach { (id, calls) -> total.merge(id, calls, Int::plus) }
         }
+        directory.all.forEach { it.inFlightAtPeers = if (total.isEmpty()) 0 else total[it.endpoint.id] ?: 0 }
     }
 
     /**
@@ -166,19 +169,19 @@
     private fun forwardedNeighbours(forwards: (String, Boolean) -> Boolean): List<Peer> =
         currentNeighbours.value.filter { forwards(it.member.name, exchange().roleOf(it) != PeerRole.LEAF) }
 
-    private fun demandBehind(forwards: (String, Boolean) -> Boolean): Map<String, Double> {
-        val limited = directory.all.filter { it.mayBeLimited }.map { it.endpoint.service }.toSet()
+    private fun demandBehind(neighbours: List<Peer>): Map<String, Double> {
+        val limited = HashSet<String>()
+        directory.all.forEach { if (it.mayBeLimited) limited.add(it.endpoint.service) }
         serviceDemand.setReported(limited)
         val total = HashMap<String, Double>()
         limited.forEach { total[it] = serviceDemand.local(it) }
-        forwardedNeighbours(forwards).forEach { peer ->
+        neighbours.forEach { peer ->
             peer.heartbeat?.demand?.forEach { (service, calls) -> total.merge(service, calls, Double::plus) }
         }
         return total
     }
 
-    private fun inFlightBehind(forwards: (String, Boolean) -> Boolean): Map<String, Int> {
-        val neighbours = forwardedNeighbours(forwards)
+    private fun inFlightBehind(neighbours: List<Peer>): Map<String, Int> {
         val total = HashMap<String, Int>()
         directory.all.forEach { if (it.inFlight > 0) total[it.endpoint.id] = it.inFlight }
         neighbours.forEach { peer ->
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreContactProber.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/StoreContactProber.kt
@@ -22,13 +22,16 @@
 
     /** Probes the store when the confirmation is too old and the previous probe is not too recent. */
     fun probeIfDue() {
+        // The roles are looked up in the peer table, and this runs at each tick.
+        val age = contact.age()
+        if (age <= LEADER_PROBE_AGE) return
         val limit = when {
             isLeader() -> LEADER_PROBE_AGE
             isRelay() -> FOLLOWER_PROBE_AGE
             else -> LEAF_PROBE_AGE
         }
         val mayProbe = clock.now() - probedAt > MIN_PROBE_INTERVAL
-        if (configurations.isLoaded && contact.age() > limit && mayProbe) {
+        if (configurations.isLoaded && age > limit && mayProbe) {
             probedAt = clock.now()
             configurations.probe()
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -173,8 +173,11 @@
     /** The most recent observations of named rates that are younger than [age], at most [count] of them. */
     fun recentRates(age: Duration, count: Int): List<RateReport> {
         val since = clock.now() - age
-        return all.map { it.namedRate }.filter { it.updatedAt > since }
-            .sortedByDescending { it.updatedAt }.take(count).map { it.report() }
+        // Runs for each heartbeat over all endpoints, of which few name a rate.
+        val recent = ArrayList<NamedRate>()
+        states.values.forEach { if (it.namedRate.updatedAt > since) recent.add(it.namedRate) }
+        if (recent.isEmpty()) return emptyList()
+        return recent.sortedByDescending { it.updatedAt }.take(count).map { it.report() }
     }
 
     /** Sets the availability zones whose endpoints get no new calls. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/RelaySelection.kt
@@ -19,6 +19,7 @@
  */
 class RelaySelection(private val self: Member, private val clock: MonotonicClock) {
     private var ranked: Map<String, List<Member>> = mapOf(self.zone to listOf(self))
+    private var unsuspectedRelays: List<Member> = listOf(self)
     private val suspectedUntil = HashMap<String, Duration>()
     private val ranks = HashMap<String, Int>()
 
@@ -47,6 +48,7 @@
         get() {
             val all = ranked[self.zone].orEmpty()
             if (isMesh) return all
+            if (suspectedUntil.isEmpty()) return unsuspectedRelays
             val now = clock.now()
             suspectedUntil.values.removeIf { it <= now }
             return all.asSequence().filter { it.name !in suspectedUntil }.take(RELAYS_PER_ZONE).toList()
@@ -59,14 +61,16 @@
         isMesh = all.size <= MAX_MESH_SIZE
         ranked = all.groupBy { it.zone }
             .mapValues { (_, list) -> list.sortedWith(BY_CAPACITY) }
+        unsuspectedRelays = ranked[self.zone].orEmpty().take(RELAYS_PER_ZONE)
         defaultRelays = ranked.values.flatMap { if (isMesh) it else it.take(RELAYS_PER_ZONE) }
     }
 
     /** Whether this daemon is a relay in its own view. */
-    fun isRelay(): Boolean = ownRelays.any { it.name == self.name }
+    fun isRelay(): Boolean = isMesh || ownRelays.any { it.name == self.name }
 
     /** The relay that this daemon uses, null when it is one itself. The daemons of a zone spread over its relays. */
     fun relay(): Member? {
+        if (isMesh) return null
         val relays = ownRelays
         return if (relays.any { it.name == self.name }) {
             null
