Bound connections and the memory of requests at every listener

Cause: Netty's decoder keeps objects for each header line (127 bytes measured), so a head of 15,000 bytes of short lines takes some 400 KB, and nothing counted heads, bodies, pipelined requests or unread answers of the address and metrics servers over all connections. An OutOfMemoryError ended the event loop, the only thread that keeps the process. Without a descriptor left, the end of the listener's pipeline logged the failed accept through the JDK, whose formatter opens files; its Error ended the event loop, too.

Change: a bound on the connections of each listener, from MaxFds (or the process's own limit); a new connection takes the place of the oldest without a whole request, else of the longest idle one. A memory budget over all connections of a process for requests, with the objects of header lines and trailers, from the first byte to the end of the answer; what is still read counts four times when the largest is chosen. Frames and unread replies of history daemons, and unread answers of the address and metrics servers, are bounded as well, and so are earlier turns in front of a body. A failed accept is recorded and nothing else. A call whose caller left before an endpoint ran it returns its rate token. A failed connection attempt is reported on the event loop. Names of programs and paths beyond 160 characters are replaced by start and digest: some of 7,000 characters each kept heartbeats from fitting into a datagram. Log values are cut at 512 characters.

MemoryBudgetTest passes its budget within the resources of the listener now; its checks are the same.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmittedCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/AdmittedCall.kt
@@ -68,4 +68,5 @@
 }
 
 /** Key of [program] of [account], unique over all accounts. */
-internal fun programKey(account: ClientAccount?, program: String?): String = "${account?.name.orEmpty()}/$program"
+internal fun programKey(account: ClientAccount?, program: String?): String =
+    shortKey("${account?.name.orEmpty()}/$program")
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -30,6 +30,7 @@
         waiting?.let { services.dispatcher.cancel(it) }
         waiting = null
         memory.hold(0)
+        bodyMemory.hold(0)
         turn.settle()
         if (body !== call.request.body) body.release()
         onDone()
@@ -50,11 +51,16 @@
         }
     }
 
+    /** Memory of the earlier turns that are sent before the request's own body. */
+    private val bodyMemory = services.memory.holder { end("memory") }
+
     /** Starts the call; invoked once. */
     fun start() {
         exchange.onDisconnect = {
             response.log("caller-gone", "events" to turn.events, "sends" to sends)
+            val wasRun = runs > 0 || attempt != null
             attempt?.let(::cancelAttempt)
+            if (!wasRun) call.account?.let { services.rateLimiter.refund(it) }
             response.endWithoutCaller()
         }
         services.scheduler.after(call.expiresAt - clock.now()) { end("deadline") }
@@ -98,8 +104,11 @@
         when {
             response.isDone -> turn.settle()
             start is TurnStart.Ready -> {
-                if (start.earlier.isNotEmpty()) body = turn.bodyAfter(start.earlier)
-                submit()
+                if (start.earlier.isNotEmpty()) {
+                    body = turn.bodyAfter(start.earlier)
+                    bodyMemory.hold(body.readableBytes().toLong() - call.request.body.readableBytes())
+                }
+                if (!response.isDone) submit()
             }
             start is TurnStart.BudgetSpent -> {
                 services.activity.recordBudgetSpent(call.programKey)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
@@ -10,6 +10,7 @@
 import io.jasmineford.gateway.call.TurnSession
 import io.jasmineford.gateway.call.read
 import io.jasmineford.gateway.call.refusalHeaders
+import io.jasmineford.gateway.call.shortKey
 import io.jasmineford.gateway.config.ClientAccount
 import io.jasmineford.gateway.config.GatewayConfig
 import io.jasmineford.gateway.config.Route
@@ -112,7 +113,7 @@
     private fun fingerprint(request: CallerRequest, account: ClientAccount?): String {
         val sum = CRC32()
         sum.update(request.body.nioBuffer())
-        return "${account?.name}|${request.method}|${request.uri}|${sum.value}"
+        return "${account?.name}|${request.method}|${shortKey(request.uri)}|${sum.value}"
     }
 
     private fun refuse(request: CallerRequest, exchange: CallerExchange, refusal: AdmissionDecision.Refused) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -15,6 +15,7 @@
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.http.CallerServer
 import io.jasmineford.gateway.http.MemoryBudget
+import io.jasmineford.gateway.http.ProcessResources
 import io.jasmineford.gateway.log.endpointRate
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
@@ -104,7 +105,7 @@
         limits = { view.config?.limits ?: DEFAULT_LIMITS },
         isClosing = { shutdown.hasBegun },
         log = node.log,
-        memory = memory,
+        resources = node.resources.listener(ProcessResources.CALLER_SHARE, unread = memory),
         handler = CallerRequestHandler(
             services = services,
             storeState = { StoreState(view.contact, view.config) },
@@ -141,7 +142,9 @@
             view.contact.age().toDouble(DurationUnit.SECONDS)
         }
         metrics.gauge("jasmineford_config_version", "Version in force") { view.config?.version?.toDouble() ?: -1.0 }
-        MetricsServer(node.group, node.log, metrics).open(node.settings.metricsAddress)
+        metrics.observe(node.resources)
+        MetricsServer(node.group, node.log, metrics, node.resources.listener(ProcessResources.METRICS_SHARE))
+            .open(node.settings.metricsAddress)
     }
 
     private fun recordUnmatched(response: UnmatchedResponse) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
@@ -1,5 +1,7 @@
 package io.jasmineford.gateway.daemon
 
+import io.jasmineford.gateway.http.MemoryBudget
+import io.jasmineford.gateway.http.ProcessResources
 import io.jasmineford.gateway.metrics.CallMetrics
 import io.jasmineford.gateway.metrics.MetricsServer
 import io.jasmineford.gateway.peer.Heartbeat
@@ -56,7 +58,8 @@
     /** Loads the log and opens the sockets. Called outside the event loop; all other functions run on it. */
     fun open() {
         history.start(node.settings.isFirstStart)
-        HistoryServer(node.group, history, node.log).open(node.settings.peerAddress)
+        val resources = node.resources.listener(ProcessResources.HISTORY_SHARE, MemoryBudget(MAX_UNREAD_BYTES))
+        HistoryServer(node.group, history, node.log, resources).open(node.settings.peerAddress)
         membership.open()
         val metrics = CallMetrics()
         metrics.gauge("jasmineford_history_entries", "Entries held") { history.size.toDouble() }
@@ -66,7 +69,9 @@
         metrics.gauge("jasmineford_history_used_ratio", "Share of the memory or disk for entries, the larger one") {
             history.usedShare
         }
-        MetricsServer(node.group, node.log, metrics).open(node.settings.metricsAddress)
+        metrics.observe(node.resources)
+        MetricsServer(node.group, node.log, metrics, node.resources.listener(ProcessResources.METRICS_SHARE))
+            .open(node.settings.metricsAddress)
     }
 
     /** Registers this daemon, starts the mirrors of the store and the periodic work. */
@@ -154,6 +159,9 @@
 
         val CLEANUP_PERIOD = 20.seconds
 
+        /** Replies that are not read yet; most are far below the 1 MB of a copy reply. */
+        const val MAX_UNREAD_BYTES = 16L * 1024 * 1024
+
         /** Time for replies in flight. */
         val REPLY_FLUSH_TIME = 300.milliseconds
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/NodeRuntime.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/NodeRuntime.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.daemon
 
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.gateway.http.ProcessResources
 import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.settings.NodeRole
@@ -29,6 +30,14 @@
     /** The event loop on which all control state is used. */
     val loop: EventLoop = group.next() as EventLoop
 
+    /** Descriptors and memory for the listeners. */
+    val resources = ProcessResources(
+        descriptors = ProcessResources.descriptorLimit(settings.maxDescriptors),
+        heapBytes = Runtime.getRuntime().maxMemory(),
+        log = log,
+        clock = clock,
+    )
+
     /** Start time of this process in Unix milliseconds. */
     val incarnation: Long = wallMillis()
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
@@ -34,16 +34,38 @@
     private val limits: CallLimits,
     private val isClosing: () -> Boolean,
     private val log: EventLog,
+    private val resources: ListenerResources,
     private val handler: CallerHandler,
 ) : ChannelInboundHandlerAdapter() {
+    constructor(
+        channel: Channel,
+        limits: CallLimits,
+        isClosing: () -> Boolean,
+        log: EventLog,
+        handler: CallerHandler,
+    ) : this(channel, limits, isClosing, log, ListenerResources(RejectionLog(log)), handler)
+
+    /** Memory of the requests on this connection. */
+    val footprint = RequestFootprint(resources.requests) { end(RejectionReason.REQUEST_MEMORY) }
+    private val place = resources.connections.admit { end(RejectionReason.CONNECTIONS) }
+
+    /** Whether the connection has a place among those of the listener. */
+    val isAdmitted: Boolean get() = place != null
+
+    /** Whether a request is being read, and no earlier one is without a complete answer. */
+    val isReading: Boolean get() = head != null && current == null
     private var head: HttpRequest? = null
     private var body: CompositeByteBuf? = null
     private var bodyBytes = 0
     private var isRejecting = false
-    private val waiting = ArrayDeque<Pair<HttpRequest, ByteBuf>>()
+    private val waiting = ArrayDeque<WaitingRequest>()
     private var current: Exchange? = null
     private val timer = ConnectionTimer(channel)
 
+    init {
+        channel.closeFuture().addListener { place?.leave() }
+    }
+
     /** Whether a request is being read, is queued or is being answered, or an answer is not written in full. */
     val isBusy: Boolean get() = hasRequest || hasUnwritten
     private val hasRequest: Boolean get() = current != null || head != null || waiting.isNotEmpty()
@@ -94,37 +116,45 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         }
-        if (part.isReadable) body?.addComponent(true, part.retain())
+        if (part.isReadable) {
+            body?.let { footprint.readBody(bodyBytes, it.addComponent(true, part.retain()).numComponents()) }
+        }
         val request = head
         if (content !is LastHttpContent || request == null) return
         timer.cancel()
         val fullBody = body ?: Unpooled.EMPTY_BUFFER
         head = null
         body = null
-        waiting.addLast(request to fullBody)
+        waiting.addLast(WaitingRequest(request, fullBody, footprint.complete()))
+        place?.beginRequest()
         if (waiting.size > MAX_PIPELINED) channel.config().isAutoRead = false
         startNext()
     }
 
     private fun startNext() {
         if (current != null || !channel.isActive) return
-        val (request, fullBody) = waiting.removeFirstOrNull() ?: return closeWhenIdle()
+        val next = waiting.removeFirstOrNull()
+        if (next == null) {
+            place?.endRequests()
+            return closeWhenIdle()
+        }
         channel.config().isAutoRead = true
-        val exchange = Exchange(fullBody, HttpUtil.isKeepAlive(request), isHead = request.method() == HttpMethod.HEAD)
+        val exchange = Exchange(next)
         current = exchange
-        handler.handle(CallerRequest(request.method(), request.uri(), request.headers(), fullBody), exchange)
+        val request = next.request
+        handler.handle(CallerRequest(request.method(), request.uri(), request.headers(), next.body), exchange)
     }
 
     /**
-     * Answers an invalid request with [status] and closes the connection, because the start of the next request is not
-     * known. While an earlier request is being answered, the connection is closed without an answer.
+     * Answers the request that is being read with [status] and closes the connection, because the start of the next
+     * request is not known. While an earlier request is being answered, the connection is closed without an answer.
      */
-    private fun reject(status: HttpResponseStatus) {
+    fun reject(status: HttpResponseStatus, reason: RejectionReason = RejectionReason.INVALID_REQUEST) {
         isRejecting = true
         head = null
         body?.release()
         body = null
-        log.event("request-rejected", "status" to status.code(), "caller" to channel.remoteAddress())
+        resources.rejections.record(reason, channel.remoteAddress(), status.code().takeIf { current == null })
         if (current != null) {
             channel.close()
             return
@@ -137,9 +167,17 @@
         channel.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
-    /** Refuses the request that is being read, unless an earlier one has no complete answer. */
-    fun refuseUnread() {
-        if (head != null && current == null) reject(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    /** Ends the connection to give what it holds to others; a request that is being read is refused. */
+    private fun end(reason: RejectionReason) {
+        if (isRejecting) return
+        if (isReading) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, reason)
+        } else {
+            isRejecting = true
+            resources.rejections.record(reason, channel.remoteAddress())
+        }
+        // The response fits into the socket's buffer unless the caller has left earlier ones unread.
+        channel.close()
     }
 
     private fun closeWhenIdle() = timer.arm(limits.idleTimeout) { if (!hasRequest) channel.close() }
@@ -149,21 +187,23 @@
         body?.release()
         body = null
         head = null
-        waiting.forEach { it.second.release() }
+        waiting.forEach { it.body.release() }
         waiting.clear()
         current?.disconnected()
+        footprint.clear()
     }
 
+    /** A request that has been read. [cost] is its part of the footprint. */
+    private class WaitingRequest(val request: HttpRequest, val body: ByteBuf, val cost: Long)
+
     @Deprecated("Deprecated in the supertype")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         channel.closeAfter(cause, log)
     }
 
-    private inner class Exchange(
-        private val body: ByteBuf,
-        private val isKeepAlive: Boolean,
-        private val isHead: Boolean,
-    ) : CallerExchange {
+    private inner class Exchange(private val request: WaitingRequest) : CallerExchange {
+        private val isKeepAlive = HttpUtil.isKeepAlive(request.request)
+        private val isHead = request.request.method() == HttpMethod.HEAD
         private var isStarted = false
         private var isEnded = false
         private var willClose = false
@@ -230,7 +270,8 @@
 
         private fun finish() {
             isEnded = true
-            body.release()
+            request.body.release()
+            footprint.release(request.cost)
             current = null
         }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
@@ -3,14 +3,15 @@
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.log.EventLog
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.handler.codec.http.HttpResponseStatus
 import java.net.InetSocketAddress
 
 /** Handles complete requests. */
@@ -24,14 +25,14 @@
  *
  * @param limits limits on requests; read once for each new connection.
  * @param isClosing whether answers carry `Connection: close`, so that callers move to other daemons.
- * @param memory budget for answers that callers have not read yet.
+ * @param resources bounds on the connections, their requests and the answers that callers have not read yet.
  */
 class CallerServer(
     private val group: EventLoopGroup,
     private val limits: () -> CallLimits,
     private val isClosing: () -> Boolean,
     private val log: EventLog,
-    private val memory: MemoryBudget = MemoryBudget(Long.MAX_VALUE),
+    private val resources: ListenerResources = ListenerResources(RejectionLog(log)),
     private val handler: CallerHandler,
 ) {
     private val connections = HashMap<CallerConnection, Channel>()
@@ -48,10 +49,16 @@
         listener = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            // Buffers of incomplete requests are kept; larger ones would hold memory that is not counted.
+            .childOption(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES),
+            )
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) = accept(channel)
             })
             .bind(address).syncUninterruptibly().channel()
+            .also { it.pipeline().addLast(AcceptFailures(resources.rejections)) }
     }
 
     /** Whether there are no connections. */
@@ -64,17 +71,24 @@
     }
 
     /** Refuses the requests that have been read in part only, and closes their connections. */
-    fun refuseUnread() = connections.keys.toList().forEach { it.refuseUnread() }
+    fun refuseUnread() = connections.keys.filter { it.isReading }.forEach {
+        it.reject(HttpResponseStatus.SERVICE_UNAVAILABLE, RejectionReason.STOPPING)
+    }
 
     private fun accept(channel: SocketChannel) {
-        KeepAliveProbes(idleSeconds = CALLER_PROBE_IDLE_SECONDS).applyTo(channel)
         val current = limits()
-        val connection = CallerConnection(channel, current, isClosing, log, handler)
+        val connection = CallerConnection(channel, current, isClosing, log, resources, handler)
+        if (!connection.isAdmitted) {
+            resources.rejections.record(RejectionReason.CONNECTIONS, channel.remoteAddress())
+            channel.close()
+            return
+        }
+        KeepAliveProbes(idleSeconds = CALLER_PROBE_IDLE_SECONDS).applyTo(channel)
         connections[connection] = channel
         channel.closeFuture().addListener { connections.remove(connection) }
         channel.pipeline().addLast(
-            OutboundBytes(channel, memory, log),
-            HttpRequestDecoder(current.maxHeaderBytes, current.maxHeaderBytes, MAX_CHUNK_BYTES),
+            OutboundBytes(channel, resources.unread, log),
+            RequestDecoder(current.maxHeaderBytes, connection.footprint),
             HttpResponseEncoder(),
             connection,
         )
@@ -83,7 +97,9 @@
     private companion object {
         /** Connections that the kernel queues while the event loop is busy. */
         const val BACKLOG = 1024
-        const val MAX_CHUNK_BYTES = 65_536
+        const val MIN_READ_BYTES = 64
+        const val FIRST_READ_BYTES = 2048
+        const val MAX_READ_BYTES = 16_384
 
         /** Detects callers that disappeared without closing the connection within a few seconds. */
         const val CALLER_PROBE_IDLE_SECONDS = 3
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -226,7 +226,12 @@
                     }
                 })
                 .connect(address)
-                .addListener { future -> onDone(connection.takeIf { future.isSuccess }) }
+                .addListener { future ->
+                    // Without a descriptor there is no channel, and Netty reports that on another thread.
+                    val loop = group.next()
+                    val isOnLoop = loop.inEventLoop()
+                    if (isOnLoop) onDone(connection.takeIf { future.isSuccess }) else loop.execute { onDone(null) }
+                }
         }
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/log/EventLog.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/log/EventLog.kt
@@ -44,7 +44,7 @@
     private fun format(now: Long, name: String, fields: Array<out Pair<String, Any?>>): String {
         val line = StringBuilder(LINE_CHARS).append("ts=").append(now).append(" event=").append(name)
         fields.forEach { (key, value) ->
-            val text = value.toString()
+            val text = value.toString().take(MAX_VALUE_CHARS)
             line.append(' ').append(key).append('=')
             if (text.none { it == ' ' || it == '"' || it < ' ' }) line.append(text) else line.append(quote(text))
         }
@@ -76,6 +76,9 @@
         /** Keeps logging below a few percent of a daemon's CPU time. */
         const val LINES_PER_SECOND = 400
         const val LINE_CHARS = 200
+
+        /** Paths and ids of callers are up to 16 KB long, and thousands of lines may be queued. */
+        const val MAX_VALUE_CHARS = 512
         const val MILLIS = 1000
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
@@ -1,7 +1,10 @@
 package io.jasmineford.gateway.metrics
 
 import io.jasmineford.gateway.config.RouteKind
+import io.jasmineford.gateway.http.ProcessResources
+import io.jasmineford.gateway.http.RejectionReason
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -48,6 +51,19 @@
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(read()) }.register(registry)
     }
 
+    /** Registers what [resources] count: rejected callers by reason, and the memory of requests. */
+    fun observe(resources: ProcessResources) {
+        CounterWithCallback.builder().name("jasmineford_rejected_callers_total")
+            .help("Connections that were closed, or whose request was not handled, by reason").labelNames("reason")
+            .callback { counter ->
+                RejectionReason.entries.forEach { counter.call(resources.rejections.count(it).toDouble(), it.name) }
+            }
+            .register(registry)
+        gauge("jasmineford_request_bytes", "Memory of requests that are being read or answered") {
+            resources.requests.heldBytes.toDouble()
+        }
+    }
+
     /** All metrics in the Prometheus text format. */
     fun text(): ByteArray {
         val output = ByteArrayOutputStream()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/MetricsServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/MetricsServer.kt
@@ -2,6 +2,8 @@
 
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.http.CallerServer
+import io.jasmineford.gateway.http.ListenerResources
+import io.jasmineford.gateway.http.RejectionLog
 import io.jasmineford.gateway.log.EventLog
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoopGroup
@@ -16,8 +18,9 @@
     group: EventLoopGroup,
     private val log: EventLog,
     private val metrics: CallMetrics,
+    resources: ListenerResources = ListenerResources(RejectionLog(log)),
 ) {
-    private val server = CallerServer(group, { LIMITS }, { false }, log) { request, exchange ->
+    private val server = CallerServer(group, { LIMITS }, { false }, log, resources) { request, exchange ->
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
         if (request.path == "/metrics") {
             headers[HttpHeaderNames.CONTENT_TYPE] = "text/plain; version=0.0.4"
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -35,6 +35,7 @@
  * @property isFirstStart whether the whole system starts for the first time, so that an empty disk is complete.
  * @property toleratedDiskLosses number of disks that may be lost at the same time without losing history.
  * @property processorCapacity processor capacity of this machine, in cores of the reference machine.
+ * @property maxDescriptors descriptors that the process may open; 0 if its own limit applies only.
  * @property diskBytes space that the daemon may use in [dataDirectory]; 0 if it is not limited.
  */
 data class NodeSettings(
@@ -54,4 +55,5 @@
     val bounds: PromisedBounds,
     val processorCapacity: Double = 1.0,
     val diskBytes: Long = 0,
+    val maxDescriptors: Int = 0,
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
@@ -5,14 +5,22 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 
 /** Largest frame between daemons, a copy reply with many turns. */
 private const val MAX_FRAME_BYTES = 32 * 1024 * 1024
 private const val LENGTH_BYTES = 4
 
-/** Decoder of frames that start with their length in four bytes. */
-internal fun frameDecoder() = LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES)
+/** Decoder of frames that start with their length in four bytes; [onHeld] gets the bytes of an incomplete frame. */
+internal fun frameDecoder(onHeld: (bytes: Long) -> Unit = {}): LengthFieldBasedFrameDecoder =
+    object : LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES) {
+        override fun decode(context: ChannelHandlerContext, buffer: ByteBuf): Any? {
+            val frame = super.decode(context, buffer)
+            onHeld(buffer.readableBytes().toLong())
+            return frame
+        }
+    }
 
 /** Returns the bytes of the frame and releases the buffer. */
 internal fun ByteBuf.readAndRelease(): ByteArray = try {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/MemoryBudgetTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/MemoryBudgetTest.kt
@@ -24,7 +24,8 @@
     private val loop = group.next()
     private val memory = MemoryBudget(LIMIT_BYTES)
     private val sockets = ArrayList<Socket>()
-    private val server = CallerServer(group, { LIMITS }, { false }, noOpLog, memory) { request, exchange ->
+    private val resources = ListenerResources(RejectionLog(noOpLog), unread = memory)
+    private val server = CallerServer(group, { LIMITS }, { false }, noOpLog, resources) { request, exchange ->
         val size = if (request.path == "/large") LARGE_BYTES else SMALL_BYTES
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
         exchange.answer(OK, headers, Unpooled.buffer(size).writeZero(size))
