Break off responses with an invalid status line at once

Cause: Netty parses the status as a number, so 0200 was passed on as 200, and 600 and 999 as they were; 000 to 199 counted as interim responses, behind which the call waited until its deadline.

Change: the decoder checks the raw status: three digits from 100 to 599. A status below 200 is an interim response only if it is 100, 102 or 103 without a length, a coding or a signature; any other is a final response with a wrong status. Both are broken responses: the connection is closed, the endpoint counts as failing, the call goes the way of its route's kind. The store's replies go through the same code. Behind a valid interim response the call waits as for an endpoint that sends nothing.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
@@ -48,6 +48,12 @@
         super.userEventTriggered(context, event)
     }
 
+    /** Called with version, status and reason of a status line; Netty reads statuses such as `0200` and `999`, too. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(STATUS.matches(initialLine[1])) { "invalid status '${initialLine[1].take(MAX_SHOWN_CHARS)}'" }
+        return super.createMessage(initialLine)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(message) || matcher.isWithoutBody(message as HttpResponse)
 
@@ -56,6 +62,11 @@
         const val MAX_HEADER_BYTES = 65_536
         const val MAX_CHUNK_BYTES = 65_536
 
+        const val MAX_SHOWN_CHARS = 20
+
+        /** 100 to 599. */
+        val STATUS = Regex("[1-5][0-9]{2}")
+
         val DECODER_CONFIG: HttpDecoderConfig = HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseMatcher.kt
@@ -223,6 +223,13 @@
     HttpResponseStatus.TOO_MANY_REQUESTS.code(),
     HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
 )
+
+/** Interim statuses that a server may send without being asked. */
+private val INTERIM = setOf(
+    HttpResponseStatus.CONTINUE.code(),
+    HttpResponseStatus.PROCESSING.code(),
+    HttpResponseStatus.EARLY_HINTS.code(),
+)
 private const val CHUNKED = "chunked"
 
 /** Start of each line that the decoder takes for a status line. */
@@ -238,12 +245,22 @@
         head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).any { !it.equals(CHUNKED, ignoreCase = true) } ->
             HeadVerdict.Invalid("unknown transfer coding")
         status == HttpResponseStatus.SWITCHING_PROTOCOLS.code() -> HeadVerdict.Invalid("protocol was switched")
+        status < FIRST_FINAL_STATUS && !head.isInterim(identity) -> HeadVerdict.Invalid("no valid interim response")
         status < FIRST_FINAL_STATUS -> HeadVerdict.Interim
         identity == null -> HeadVerdict.Own(ResponseMeaning.EXECUTED)
         else -> finalVerdictOf(status, head.headers(), identity)
     }
 }
 
+/**
+ * Whether the response, whose status is below 200, announces another one. A response with a body or a signature is a
+ * final one with a wrong status, and nothing would follow.
+ */
+private fun HttpResponse.isInterim(identity: ResponseIdentity?): Boolean =
+    status().code() in INTERIM && !headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
+        !headers().contains(HttpHeaderNames.TRANSFER_ENCODING) &&
+        (identity == null || !headers().contains(identity.signatureHeader))
+
 private fun finalVerdictOf(status: Int, headers: HttpHeaders, identity: ResponseIdentity): HeadVerdict {
     val ids = headers.getAll(identity.idHeader)
     val signatures = headers.getAll(identity.signatureHeader)
