Place calls by remaining work where calls or endpoints differ

Cause: the score of an endpoint counts calls in flight over slots, although calls differ in work by a factor of a hundred and endpoints in speed. Change: package gateway/cost estimates each call's work (hint corrected by observed output, cached prompt parts, learned times), keeps what is left of the calls in flight at each endpoint, and learns speeds. Heartbeats carry both sums in the order of inFlight. EndpointRateTest and LeavingFleetTest name an argument that they passed by position; their checks are unchanged.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallHeaders.kt
@@ -1,5 +1,7 @@
 package io.jasmineford.gateway.call
 
+import io.jasmineford.gateway.cost.CallHints
+import io.jasmineford.gateway.cost.callHintsOf
 import io.jasmineford.gateway.http.CallerRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -20,6 +22,8 @@
  * @property rateLimit calls per second that an endpoint takes from all daemons together, on its responses.
  * @property leaving `1` on responses of endpoints that are leaving and take no calls from the daemon any more.
  * @property endpointId id of the endpoint that responds, on responses that name it.
+ * @property lengthHint the caller's estimate of the tokens that the call generates.
+ * @property promptParts leading parts of the prompt that calls share, see [callHintsOf].
  * @property systemOnly headers that callers may not set; they are removed from their requests.
  */
 data class CallHeaderNames(
@@ -39,6 +43,8 @@
     val rateLimit: String,
     val leaving: String,
     val endpointId: String,
+    val lengthHint: String,
+    val promptParts: String,
     val systemOnly: List<String>,
 )
 
@@ -57,6 +63,7 @@
  * @property tokenBudget tokens that all turns of the program together may produce; null for no limit.
  * @property previousTurn id of the turn that this one continues.
  * @property resumedAttempt id of the attempt that began the stream which this one takes up again; null for a new one.
+ * @property hints what the caller tells of the call's work.
  */
 data class CallAttributes(
     val attemptId: String,
@@ -68,6 +75,7 @@
     val tokenBudget: Long?,
     val previousTurn: String?,
     val resumedAttempt: String? = null,
+    val hints: CallHints = CallHints(),
 )
 
 /** Reads the attributes of [request]; null when the attempt id is missing or a number is malformed. */
@@ -87,6 +95,7 @@
         tokenBudget = headers[tokenBudget]?.trim()?.toLong(),
         previousTurn = headers[previousTurn]?.takeIf { it.isNotBlank() },
         resumedAttempt = headers[resumedAttempt]?.takeIf { it.isNotBlank() },
+        hints = callHintsOf(headers[tokenUsage], headers[lengthHint], headers[promptParts]),
     )
 }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.call
 
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.gateway.cost.CallObserver
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.http.MemoryBudget
 import io.jasmineford.gateway.limit.AccountRateLimiter
@@ -26,4 +27,5 @@
     val latencyBaseline: RouteLatencyBaseline,
     val streamVersions: StreamVersions,
     val memory: MemoryBudget,
+    val observer: CallObserver,
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.call
 
 import io.jasmineford.gateway.config.RouteKind
+import io.jasmineford.gateway.cost.CallObserver
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
@@ -25,6 +26,7 @@
 ) {
     private val route = call.route
     private val clock = services.clock
+    private val work = services.observer.work(route.name, call.service, call.attributes.hints)
     private val turn = TurnSession(call, services.turns)
     private val response = CallResponse(call, exchange, services) {
         waiting?.let { services.dispatcher.cancel(it) }
@@ -41,6 +43,7 @@
     private var runs = 0
     private var waiting: WaitingCall? = null
     private var attempt: EndpointAttempt? = null
+    private var progress: CallObserver.CallProgress? = null
     private var body: ByteBuf = call.request.body
     private var mayBeSent = true
     private val memory = services.memory.holder {
@@ -119,7 +122,7 @@
         val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
             scheduling = call.scheduling,
-            placement = PlacementRequest(call.service, affinity, tried, streamVersion),
+            placement = PlacementRequest(call.service, affinity, tried, streamVersion, work),
             onPlaced = ::send,
             onRefused = { retryAfter ->
                 waiting = null
@@ -132,6 +135,8 @@
 
     private fun send(state: EndpointState) {
         waiting = null
+        val isWhole = call.attributes.resumedAttempt == null && turn.lastEventId == null
+        progress = services.observer.begin(state, work, isWhole)
         if (sends == 0) services.metrics.placed(route.kind, clock.now() - call.arrivedAt)
         sends++
         tried.add(state.endpoint.id)
@@ -183,6 +188,7 @@
         attempt = null
         memory.hold(0)
         current.cancel()
+        progress?.ended()
         current.state.inFlight--
         services.dispatcher.assignWaiting()
     }
@@ -194,6 +200,7 @@
     private inner class AttemptOutcome(private val state: EndpointState) : AttemptHandler {
         private val eventsBefore = turn.events
         private val responseBuffer = ResponseBuffer(route.kind == RouteKind.STREAM, turn.goesOnBehind) { head, event ->
+            progress?.event()
             if (!response.isDone) {
                 streamVersion = state.endpoint.version
                 turn.recordEvent(event)
@@ -279,6 +286,7 @@
                     val timePerEvent = took / turn.events.coerceAtLeast(1)
                     val arrival = Arrival(attempt?.connectionNumber, attempt?.reads)
                     state.recordSuccess(services.latencyBaseline.relative(route.name, timePerEvent))
+                    if (head.isSuccess) progress?.succeeded(took)
                     services.poisonCalls.recordResponse(call.fingerprint)
                     attemptEnded(wasRun = true)
                     services.dispatcher.completed(call.service, took)
@@ -330,6 +338,7 @@
         private fun attemptEnded(wasRun: Boolean) {
             attempt = null
             memory.hold(0)
+            progress?.ended()
             state.inFlight--
             if (wasRun) runs++
             services.dispatcher.assignWaiting()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/config/Route.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/config/Route.kt
@@ -45,11 +45,13 @@
  *
  * @property coldRate calls per second that an endpoint can take while it warms up after its start; 0 for no limit.
  * @property tokensPerEvent tokens in one stream event; 0 for services that do not generate tokens.
+ * @property memoryTokens memory of an endpoint for prompts and generated tokens, in tokens; 0 if unknown.
  */
 data class Service(
     val name: String,
     val coldRate: Double = 0.0,
     val tokensPerEvent: Int = 0,
+    val memoryTokens: Int = 0,
 )
 
 /**
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -10,6 +10,8 @@
 import io.jasmineford.gateway.call.TurnCoordinator
 import io.jasmineford.gateway.call.UnmatchedResponse
 import io.jasmineford.gateway.config.CallLimits
+import io.jasmineford.gateway.cost.CallObserver
+import io.jasmineford.gateway.cost.WorkPlacementSettings
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
@@ -39,7 +41,10 @@
     private val state = EntryState(
         self = node.self,
         clock = node.clock,
-        tolerance = node.settings.bounds.rateLimitTolerance,
+        settings = EntryStateSettings(
+            tolerance = node.settings.bounds.rateLimitTolerance,
+            workPlacement = WorkPlacementSettings(node.settings.placesByWork, node.log),
+        ),
         storeState = { StoreState(view.contact, view.config) },
         peers = { peers },
         exchange = { exchange },
@@ -61,6 +66,7 @@
             directory = state.directory,
             zone = node.settings.zone,
             clock = node.clock,
+            byWork = state.placement,
             partOf = state::ratePart,
         ),
         clock = node.clock,
@@ -97,6 +103,7 @@
         latencyBaseline = RouteLatencyBaseline(),
         streamVersions = StreamVersions(StreamOrigins(quorum), state.directory::versionMix),
         memory = memory,
+        observer = CallObserver(node.clock, state.placement, metrics::workEstimated),
     )
     private val openCalls = OpenCalls(services)
     private val server: CallerServer = CallerServer(
@@ -137,6 +144,12 @@
         metrics.gauge("jasmineford_leaving_endpoints", "Endpoints whose responses say that they are leaving") {
             state.directory.all.count { it.isLeaving }.toDouble()
         }
+        metrics.gauge("jasmineford_services_placed_by_work", "Services placed by work as speeds differ") {
+            state.placement.switchedOnServices.toDouble()
+        }
+        metrics.gauge("jasmineford_remaining_work_seconds", "Largest remaining work of the calls at an endpoint") {
+            (state.directory.all.maxOfOrNull { it.work.remainingMillis } ?: 0.0) / MILLIS_PER_SECOND
+        }
         metrics.gauge("jasmineford_store_contact_age_seconds", "Age of the newest proof of store contact") {
             view.contact.age().toDouble(DurationUnit.SECONDS)
         }
@@ -239,6 +252,7 @@
 
         /** With two addresses in a zone, callers still have one when the other fails. */
         const val MIN_ZONE_ADDRESSES = 2
+        const val MILLIS_PER_SECOND = 1000.0
         val TICK_PERIOD = 50.milliseconds
         val CLEANUP_PERIOD = 20.seconds
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -3,6 +3,9 @@
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.call.PoisonCallDetector
 import io.jasmineford.gateway.config.GatewayConfig
+import io.jasmineford.gateway.cost.WorkPlacement
+import io.jasmineford.gateway.cost.WorkPlacementSettings
+import io.jasmineford.gateway.cost.WorkReports
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointDirectory
 import io.jasmineford.gateway.endpoint.RatePart
@@ -28,6 +31,16 @@
 /** Contact with the platform's store and the configuration in force, null before one is known. */
 internal data class StoreState(val contact: StoreContact, val config: GatewayConfig?)
 
+/**
+ * Settings of [EntryState].
+ *
+ * @property tolerance tolerated use beyond the accounts' rate limits.
+ */
+internal data class EntryStateSettings(
+    val tolerance: RateLimitTolerance,
+    val workPlacement: WorkPlacementSettings = WorkPlacementSettings(),
+)
+
 /**
  * Load, usage and crash state of an entry daemon, and what its neighbours in the exchange report of the other daemons.
  *
@@ -37,7 +50,7 @@
 internal class EntryState(
     private val self: Member,
     private val clock: MonotonicClock,
-    tolerance: RateLimitTolerance,
+    settings: EntryStateSettings,
     private val storeState: () -> StoreState,
     private val peers: () -> PeerTable,
     private val exchange: () -> EntryExchange,
@@ -53,6 +66,10 @@
     /** Endpoints with their calls in flight. */
     val directory = EndpointDirectory(clock)
 
+    /** Placement of calls by the work that endpoints have left. */
+    val placement = WorkPlacement(clock, directory, settings.workPlacement)
+    private val workReports = WorkReports(directory, placement)
+
     /** Calls that arrive for each service. */
     val serviceDemand = ServiceDemand(clock) { service ->
         currentNeighbours.value.sumOf { it.heartbeat?.demand?.get(service) ?: 0.0 }
@@ -67,7 +84,7 @@
     /** Rate limits of the client accounts. */
     val rateLimiter = AccountRateLimiter(
         clock = clock,
-        tolerance = tolerance,
+        tolerance = settings.tolerance,
         unresponsiveDaemons = { exchange().silentCount() },
         daemonCount = { exchange().daemonCount() },
         reportDelay = { if (exchange().selection.isMesh) Duration.ZERO else RELAYED_REPORT_DELAY },
@@ -102,7 +119,8 @@
                 count = MAX_RATES,
             ),
         )
-        return exchange().addressed(own, receiver)
+        val forwarded = forwardedNeighbours(forwards).mapNotNull { it.heartbeat }
+        return exchange().addressed(workReports.addTo(own, forwarded), receiver)
     }
 
     /** Applies the latest heartbeat of [peer]. */
@@ -143,6 +161,7 @@
         directory.all.forEach { state ->
             state.inFlightAtPeers = neighbours.sumOf { it.heartbeat?.inFlight?.get(state.endpoint.id) ?: 0 }
         }
+        workReports.apply(neighbours.mapNotNull { it.heartbeat })
     }
 
     /**
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -2,6 +2,8 @@
 
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.config.Service
+import io.jasmineford.gateway.cost.CallWork
+import io.jasmineford.gateway.cost.WorkPlacement
 
 /**
  * Properties of a call that determine its endpoint.
@@ -10,12 +12,14 @@
  * @property version the only software version at which the call may run, as it goes on with a stream of that version;
  * null for any.
  * @property tried ids of the endpoints to which the call was sent before.
+ * @property work expected work of the call; null when it is not known.
  */
 data class PlacementRequest(
     val service: Service,
     val affinity: String?,
     val tried: Set<String> = emptySet(),
     val version: String? = null,
+    val work: CallWork? = null,
 )
 
 /**
@@ -26,12 +30,14 @@
  * refused.
  *
  * @param zone availability zone of this daemon.
+ * @param byWork placement by remaining work; null to count calls only.
  * @param partOf the part of this daemon in the rates that all daemons share at an endpoint.
  */
 class EndpointChooser(
     private val directory: EndpointDirectory,
     private val zone: String,
     private val clock: MonotonicClock,
+    private val byWork: WorkPlacement? = null,
     private val partOf: (Endpoint) -> RatePart,
 ) {
     /** Returns the endpoint for [request] and counts the call against its rates; null when the call has to wait. */
@@ -40,8 +46,12 @@
         val usable = usableFor(request)
         val untried = usable.filter { it.endpoint.id !in request.tried }.ifEmpty { usable }
         val preferred = untried.filter { it.backoffUntil <= now }.ifEmpty { untried }
-        val ranked = preferred.filter { hasFreeSlot(it) }.sortedBy { score(it, request) }
-        return ranked.firstOrNull { tryTakeCall(it, request.service) }
+        val free = preferred.filter { hasFreeSlot(it) }
+        val work = request.work
+        if (byWork != null && work != null && byWork.isOn(request.service.name)) {
+            return byWork.choose(free, work, { fixedCost(it, request) }) { tryTakeCall(it, request.service) }
+        }
+        return free.sortedBy { score(it, request) }.firstOrNull { tryTakeCall(it, request.service) }
     }
 
     /** Whether an endpoint could run the call, at capacity or not, or one may soon be registered that could. */
@@ -58,12 +68,19 @@
     private fun hasFreeSlot(state: EndpointState): Boolean = state.load < FULL_LOAD
 
     private fun score(state: EndpointState, request: PlacementRequest): Double {
-        val zoneCost = if (state.endpoint.zone == zone) 0.0 else OTHER_ZONE_COST
-        val affinity = request.affinity?.let { affinityCost(it, state.endpoint.id) } ?: 0.0
         val qualityCost = (state.slowness - 1) * SLOWNESS_COST + state.failureRate * FAILURE_COST
-        return state.load * state.slowness + qualityCost + zoneCost + affinity
+        return state.load * state.slowness + qualityCost + zoneCost(state) + affinityCost(state, request)
     }
 
+    /** Costs that depend neither on the load nor on the speed of an endpoint. */
+    private fun fixedCost(state: EndpointState, request: PlacementRequest): Double =
+        state.failureRate * FAILURE_COST + zoneCost(state) + affinityCost(state, request)
+
+    private fun zoneCost(state: EndpointState): Double = if (state.endpoint.zone == zone) 0.0 else OTHER_ZONE_COST
+
+    private fun affinityCost(state: EndpointState, request: PlacementRequest): Double =
+        request.affinity?.let { affinityCost(it, state.endpoint.id) } ?: 0.0
+
     /** Rendezvous hashing: all daemons prefer the same endpoint for the same key without coordination. */
     private fun affinityCost(value: String, endpointId: String): Double {
         val hash = (value.hashCode() * HASH_FACTOR + endpointId.hashCode()) * HASH_FACTOR
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointDirectory.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.config.Service
+import io.jasmineford.gateway.cost.EndpointWork
 import io.jasmineford.gateway.measure.DecayingAverage
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,6 +44,9 @@
     /** Smoothed fraction of calls that fail, 0 to 1. Endpoints that pass health checks may still fail many calls. */
     val failureRate: Double get() = decayingFailureRate.value
 
+    /** Work of the calls in flight, learned speed and cached prompts. */
+    val work = EndpointWork(clock)
+
     /** Limits this daemon's calls to its part of [rates]. */
     internal val rateLimiter = SharedRateLimiter(clock)
     private var failures = 0
@@ -123,6 +127,9 @@
     private val mixedAt = HashMap<String, Duration>()
     private val leaving = LeavingEndpoints()
 
+    /** The registered endpoints by id. */
+    val byId: Map<String, EndpointState> get() = states
+
     /** All registered endpoints. */
     val all: Collection<EndpointState> get() = states.values
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
@@ -27,6 +27,13 @@
         .help("Time from a call's arrival to its first endpoint").labelNames("kind")
         .classicOnly().classicUpperBounds(*LATENCY_BOUNDS).register(registry)
 
+    private val estimates = Histogram.builder().name("jasmineford_work_estimate_ratio")
+        .help("Actual over estimated work of successful calls")
+        .classicOnly().classicUpperBounds(*RATIO_BOUNDS).register(registry)
+
+    /** Records that a call's actual work was [ratio] times the estimate at its placement. */
+    fun workEstimated(ratio: Double) = estimates.observe(ratio)
+
     /** Records that a call on a route of [kind] ended with [outcome] after [took]. */
     fun ended(kind: RouteKind, outcome: String, took: Duration) {
         calls.labelValues(kind.name, outcome).inc()
@@ -58,5 +65,8 @@
     private companion object {
         /** Seconds; the range is from a short call on an idle endpoint to the longest time limit of a call. */
         val LATENCY_BOUNDS = doubleArrayOf(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0)
+
+        /** Around 1, an exact estimate. */
+        val RATIO_BOUNDS = doubleArrayOf(0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 10.0)
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -64,6 +64,9 @@
  * @property to incarnation of the receiver to which the sender addresses this message; -1 from older releases.
  * @property crashReports recent crashes of endpoints with the calls that were in work there.
  * @property responses ages in milliseconds of responses to calls in such crashes, by request fingerprint.
+ * @property workMillis what is left of the calls in flight in milliseconds on a reference endpoint, in the order of
+ * [inFlight]; empty where it is not used.
+ * @property workBlocks memory that the calls in flight take in blocks of 64 tokens, in the order of [inFlight].
  */
 @Serializable
 data class Heartbeat(
@@ -92,6 +95,8 @@
     val crashReports: List<CrashReport> = emptyList(),
     val responses: Map<String, Long> = emptyMap(),
     val to: Long = -1,
+    val workMillis: List<Int> = emptyList(),
+    val workBlocks: List<Int> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -36,6 +36,7 @@
  * @property toleratedDiskLosses number of disks that may be lost at the same time without losing history.
  * @property processorCapacity processor capacity of this machine, in cores of the reference machine.
  * @property diskBytes space that the daemon may use in [dataDirectory]; 0 if it is not limited.
+ * @property placesByWork whether calls to all services are placed by the remaining work of endpoints.
  */
 data class NodeSettings(
     val name: String,
@@ -54,4 +55,5 @@
     val bounds: PromisedBounds,
     val processorCapacity: Double = 1.0,
     val diskBytes: Long = 0,
+    val placesByWork: Boolean = false,
 )
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/Fixtures.kt
@@ -50,6 +50,8 @@
     rateLimit = "Rate-Limit",
     leaving = "Leaving",
     endpointId = "Endpoint",
+    lengthHint = "Length",
+    promptParts = "Parts",
     systemOnly = emptyList(),
 )
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/CallFixtures.kt
@@ -2,6 +2,9 @@
 
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.core.time.systemMonotonicClock
+import io.jasmineford.gateway.cost.CallObserver
+import io.jasmineford.gateway.cost.WorkPlacement
+import io.jasmineford.gateway.cost.WorkPlacementSettings
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.EndpointDirectory
 import io.jasmineford.gateway.endpoint.RatePart
@@ -70,6 +73,7 @@
         latencyBaseline = RouteLatencyBaseline(),
         streamVersions = StreamVersions(StreamOrigins(quorum), directory::versionMix),
         memory = MemoryBudget(Long.MAX_VALUE),
+        observer = CallObserver(clock, WorkPlacement(clock, directory, WorkPlacementSettings())),
     )
 }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/ResponseSchedule.kt
@@ -5,6 +5,9 @@
 import io.jasmineford.gateway.config.Route
 import io.jasmineford.gateway.config.RouteKind
 import io.jasmineford.gateway.config.Service
+import io.jasmineford.gateway.cost.CallObserver
+import io.jasmineford.gateway.cost.WorkPlacement
+import io.jasmineford.gateway.cost.WorkPlacementSettings
 import io.jasmineford.gateway.endpoint
 import io.jasmineford.gateway.endpoint.EndpointChooser
 import io.jasmineford.gateway.endpoint.EndpointDirectory
@@ -210,6 +213,7 @@
             latencyBaseline = RouteLatencyBaseline(),
             streamVersions = StreamVersions(StreamOrigins(quorum), directory::versionMix),
             memory = MemoryBudget(Long.MAX_VALUE),
+            observer = CallObserver(clock, WorkPlacement(clock, directory, WorkPlacementSettings())),
         )
     }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/EndpointRateTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/EndpointRateTest.kt
@@ -108,7 +108,7 @@
         private val request = PlacementRequest(Service("models"), affinity = null)
         private val choosers = fleet.daemons.map { daemon ->
             daemon.state.directory.replace(listOf(endpoint("e1", slots = 1000)))
-            EndpointChooser(daemon.state.directory, daemon.member.zone, fleet.clock, daemon.state::ratePart)
+            EndpointChooser(daemon.state.directory, daemon.member.zone, fleet.clock, partOf = daemon.state::ratePart)
         }
         val now: Duration get() = fleet.clock.now()
         val sent = ArrayList<Duration>()
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/LeavingFleetTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/LeavingFleetTest.kt
@@ -78,7 +78,7 @@
         private val sent = ArrayList<Sent>()
         private val passedOn = HashMap<Pair<Int, Process>, Duration>()
         private val choosers = fleet.daemons.map { daemon ->
-            EndpointChooser(daemon.state.directory, daemon.member.zone, fleet.clock, daemon.state::ratePart)
+            EndpointChooser(daemon.state.directory, daemon.member.zone, fleet.clock, partOf = daemon.state::ratePart)
         }
         private val readers = fleet.daemons.map { daemon ->
             LeavingReader(headerNames, noOpLog, daemon.state.directory::recordLeaving)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
@@ -5,6 +5,7 @@
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.config.ClientAccount
 import io.jasmineford.gateway.config.GatewayConfig
+import io.jasmineford.gateway.cost.WorkPlacementSettings
 import io.jasmineford.gateway.limit.RateLimitTolerance
 import io.jasmineford.gateway.peer.EntryExchange
 import io.jasmineford.gateway.peer.Heartbeat
@@ -20,12 +21,14 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Entry daemons that exchange heartbeats over a network in virtual time. */
+@Suppress("LongParameterList") // Each test sets few of them, by name.
 internal class VirtualFleet(
     size: Int,
     private val zones: Int = 3,
     private val random: Random = Random(1),
     private val lossRate: Double = 0.0,
     accounts: List<ClientAccount> = emptyList(),
+    private val placesByWork: Boolean = false,
     private val capacityOf: (Int) -> Double = { 1.0 },
 ) {
     val clock = VirtualClock()
@@ -98,7 +101,7 @@
         val state = EntryState(
             self = member,
             clock = clock,
-            tolerance = TOLERANCE,
+            settings = EntryStateSettings(TOLERANCE, WorkPlacementSettings(placesByWork)),
             storeState = { StoreState(contact, config) },
             peers = { table },
             exchange = { exchange },
