--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -66,6 +66,9 @@
  * @property responses ages in milliseconds of responses to calls in such crashes, by request fingerprint.
  * @property pressure 0, or at least 1 while the sender sheds calls because its event loop lags.
  * @property overloaded short ids of the daemons for which the sender relays that shed calls.
+ * @property workMillis what is left of the calls in flight in milliseconds on a reference endpoint, in the order of
+ * [inFlight]; empty where it is not used.
+ * @property workBlocks memory that the calls in flight take in blocks of 64 tokens, in the order of [inFlight].
  */
 @Serializable
 data class Heartbeat(
@@ -96,6 +99,8 @@
     val to: Long = -1,
     val pressure: Double = 0.0,
     val overloaded: List<Int> = emptyList(),
+    val workMillis: List<Int> = emptyList(),
+    val workBlocks: List<Int> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -37,6 +37,7 @@
  * @property processorCapacity processor capacity of this machine, in cores of the reference machine.
  * @property maxDescriptors descriptors that the process may open; 0 if its own limit applies only.
  * @property diskBytes space that the daemon may use in [dataDirectory]; 0 if it is not limited.
+ * @property placesByWork whether calls to all services are placed by the remaining work of endpoints.
  */
 data class NodeSettings(
     val name: String,
@@ -56,4 +57,5 @@
     val processorCapacity: Double = 1.0,
     val diskBytes: Long = 0,
     val maxDescriptors: Int = 0,
+    val placesByWork: Boolean = false,
 )
