--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.settings
 
 import io.jasmineford.gateway.limit.RateLimitTolerance
+import io.jasmineford.gateway.rollout.RolloutBounds
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
@@ -36,6 +37,7 @@
  * @property toleratedDiskLosses number of disks that may be lost at the same time without losing history.
  * @property processorCapacity processor capacity of this machine, in cores of the reference machine.
  * @property diskBytes space that the daemon may use in [dataDirectory]; 0 if it is not limited.
+ * @property rollouts bounds of rollouts; null where they are not in use.
  */
 data class NodeSettings(
     val name: String,
@@ -54,4 +56,5 @@
     val bounds: PromisedBounds,
     val processorCapacity: Double = 1.0,
     val diskBytes: Long = 0,
+    val rollouts: RolloutBounds? = null,
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectStoreClient.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/store/ObjectStoreClient.kt
@@ -11,6 +11,7 @@
     val revision: Long,
     val spec: JsonElement?,
     val isDeleted: Boolean = false,
+    val status: JsonElement? = null,
 )
 
 /** One page of objects. [after] is the name after which the next page starts, null on the last page. */
@@ -45,7 +46,7 @@
 }
 
 /** Kinds of objects that the daemons read or write. */
-enum class ObjectKind { CONFIGURATION, ENDPOINT, EVACUATION, RETIREMENT, MEMBER }
+enum class ObjectKind { CONFIGURATION, ENDPOINT, EVACUATION, RETIREMENT, MEMBER, ROLLOUT }
 
 /** Asynchronous client of the platform's store. Each call gets exactly one reply, on the control thread. */
 interface ObjectStoreClient {
@@ -67,6 +68,15 @@
     /** Replaces the status of an object. */
     fun putStatus(kind: ObjectKind, name: String, status: JsonElement, onReply: (StoreReply<Unit>) -> Unit)
 
+    /** Replaces the status of an object if it still has [revision]; otherwise the reply is [StoreReply.Conflict]. */
+    fun replaceStatus(
+        kind: ObjectKind,
+        name: String,
+        status: JsonElement,
+        revision: Long,
+        onReply: (StoreReply<Unit>) -> Unit,
+    )
+
     /** Removes an object. */
     fun delete(kind: ObjectKind, name: String, onReply: (StoreReply<Unit>) -> Unit)
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/LeavingDaemonTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/LeavingDaemonTest.kt
@@ -158,6 +158,14 @@
             onReply: (StoreReply<Unit>) -> Unit,
         ) = Unit
 
+        override fun replaceStatus(
+            kind: ObjectKind,
+            name: String,
+            status: JsonElement,
+            revision: Long,
+            onReply: (StoreReply<Unit>) -> Unit,
+        ) = Unit
+
         override fun delete(kind: ObjectKind, name: String, onReply: (StoreReply<Unit>) -> Unit) = Unit
     }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/store/ObjectMirrorTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/store/ObjectMirrorTest.kt
@@ -210,6 +210,14 @@
         onReply: (StoreReply<Unit>) -> Unit,
     ) = Unit
 
+    override fun replaceStatus(
+        kind: ObjectKind,
+        name: String,
+        status: JsonElement,
+        revision: Long,
+        onReply: (StoreReply<Unit>) -> Unit,
+    ) = Unit
+
     override fun delete(kind: ObjectKind, name: String, onReply: (StoreReply<Unit>) -> Unit) = Unit
 
     fun answerList(reply: StoreReply<ObjectPage>) = listReplies.removeFirst()(reply)
