Roll services out to new versions under bounds of exposure

A rollout order was not read, so calls went to endpoints of all versions alike. Entry daemons now follow the orders.

EndpointChooser asks VersionGate which endpoints may get a call.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
@@ -7,6 +7,7 @@
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.metrics.CallMetrics
+import io.jasmineford.gateway.rollout.VersionGate
 import io.jasmineford.gateway.store.Scheduler
 
 /** Collaborators of [ProxyCall], shared by all calls of a daemon. */
@@ -26,4 +27,5 @@
     val latencyBaseline: RouteLatencyBaseline,
     val streamVersions: StreamVersions,
     val memory: MemoryBudget,
+    val versionGate: VersionGate = VersionGate(clock),
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -5,6 +5,8 @@
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
 import io.jasmineford.gateway.http.CallerExchange
+import io.jasmineford.gateway.rollout.AttemptResult
+import io.jasmineford.gateway.rollout.AttemptUsage
 import io.netty.buffer.ByteBuf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,6 +45,7 @@
     private var attempt: EndpointAttempt? = null
     private var body: ByteBuf = call.request.body
     private var mayBeSent = true
+    private val usage = AttemptUsage(services.versionGate, clock, route.name)
     private val memory = services.memory.holder {
         attempt?.let {
             it.cancel()
@@ -119,7 +122,14 @@
         val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
             scheduling = call.scheduling,
-            placement = PlacementRequest(call.service, affinity, tried, streamVersion),
+            placement = PlacementRequest(
+                service = call.service,
+                affinity = affinity,
+                tried = tried,
+                version = streamVersion,
+                route = route.name,
+                callKey = call.attributes.attemptId,
+            ),
             onPlaced = ::send,
             onRefused = { retryAfter ->
                 waiting = null
@@ -134,6 +144,7 @@
         waiting = null
         if (sends == 0) services.metrics.placed(route.kind, clock.now() - call.arrivedAt)
         sends++
+        usage.start()
         tried.add(state.endpoint.id)
         val outcome = AttemptOutcome(state)
         val next = when (streamVersion) {
@@ -181,6 +192,7 @@
 
     private fun cancelAttempt(current: EndpointAttempt) {
         attempt = null
+        usage.end(current.state, AttemptResult.CANCELLED, turn.events)
         memory.hold(0)
         current.cancel()
         current.state.inFlight--
@@ -266,6 +278,7 @@
                     broken("stream was taken up without an event")
                 head.status >= SERVER_ERROR && route.isRepeatable && runs + 1 < route.maxAttempts -> {
                     state.recordFailure()
+                    usage.end(state, AttemptResult.FAILURE, turn.events)
                     response.log(
                         "endpoint-failed",
                         "endpoint" to state.endpoint.id,
@@ -277,6 +290,9 @@
                 }
                 else -> {
                     val timePerEvent = took / turn.events.coerceAtLeast(1)
+                    val isFailure = head.status >= SERVER_ERROR
+                    val result = if (isFailure) AttemptResult.FAILURE else AttemptResult.SUCCESS
+                    usage.end(state, result, turn.events)
                     val arrival = Arrival(attempt?.connectionNumber, attempt?.reads)
                     state.recordSuccess(services.latencyBaseline.relative(route.name, timePerEvent))
                     services.poisonCalls.recordResponse(call.fingerprint)
@@ -289,6 +305,7 @@
 
         override fun broken(reason: String) {
             state.recordFailure()
+            usage.end(state, AttemptResult.BROKEN, turn.events)
             if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint, state.endpoint.id)
             abandoned(reason)
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -23,6 +23,7 @@
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.peer.PeerRole
 import io.jasmineford.gateway.peer.PeerTable
+import io.jasmineford.gateway.rollout.RolloutFormat
 import io.jasmineford.gateway.turn.StreamOrigins
 import io.jasmineford.gateway.turn.TokenReserver
 import kotlin.time.Duration
@@ -30,10 +31,15 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Daemon that accepts callers' connections and dispatches their calls to endpoints. */
+/**
+ * Daemon that accepts callers' connections and dispatches their calls to endpoints.
+ *
+ * @param rolloutFormat form of rollouts in the store; null where they are not in use.
+ */
 class EntryDaemon(
     private val node: NodeRuntime,
     names: CallHeaderNames,
+    rolloutFormat: RolloutFormat? = null,
 ) {
     private val metrics = CallMetrics()
     private val state = EntryState(
@@ -49,18 +55,25 @@
         node = node,
         policy = HeartbeatPolicy(
             targets = { exchange.targets() },
-            content = { state.heartbeat(isReady, shutdown.hasBegun, it) },
+            content = { rollouts.addTo(state.heartbeat(isReady, shutdown.hasBegun, it), it) },
             onHeartbeat = ::onHeartbeat,
             onMembers = { exchange.membersChanged() },
         ),
     )
     private val peers: PeerTable get() = membership.peers
     private val exchange: EntryExchange = EntryExchange(node.self, membership.peers, node.clock)
+    private val rollouts: EntryRollouts = EntryRollouts(
+        node = node,
+        format = rolloutFormat,
+        metrics = metrics,
+        sources = RolloutSources(state.directory, { view.contact }, { membership }, { exchange }),
+    )
     private val dispatcher = Dispatcher(
         chooser = EndpointChooser(
             directory = state.directory,
             zone = node.settings.zone,
             clock = node.clock,
+            versions = rollouts.gate,
             partOf = state::ratePart,
         ),
         clock = node.clock,
@@ -97,6 +110,7 @@
         latencyBaseline = RouteLatencyBaseline(),
         streamVersions = StreamVersions(StreamOrigins(quorum), state.directory::versionMix),
         memory = memory,
+        versionGate = rollouts.gate,
     )
     private val openCalls = OpenCalls(services)
     private val server: CallerServer = CallerServer(
@@ -141,6 +155,7 @@
             view.contact.age().toDouble(DurationUnit.SECONDS)
         }
         metrics.gauge("jasmineford_config_version", "Version in force") { view.config?.version?.toDouble() ?: -1.0 }
+        rollouts.registerMetrics()
         MetricsServer(node.group, node.log, metrics).open(node.settings.metricsAddress)
     }
 
@@ -160,6 +175,7 @@
     fun start() {
         membership.start()
         view.start()
+        rollouts.start()
         node.every(TICK_PERIOD, ::tick)
         node.every(CLEANUP_PERIOD) { if (isContactLeader()) membership.removeExpired() }
         node.log.event("started", "role" to "entry", "name" to node.settings.name, "zone" to node.settings.zone)
@@ -184,6 +200,7 @@
         if (!peer.member.isEntry) return
         val expectsReply = exchange.onHeartbeat(peer)
         state.applyHeartbeat(peer)
+        rollouts.onHeartbeat(peer)
         val changed = state.directory.applyRates(peer.heartbeat?.rates.orEmpty())
         changed.forEach { node.log.endpointRate(it, source = peer.member.name) }
         if (expectsReply) membership.sendHeartbeat(peer)
@@ -193,6 +210,7 @@
     private fun tick() {
         state.countInFlight()
         contactProber.probeIfDue()
+        rollouts.tick()
         if (state.rateLimiter.hasUnreportedUsage()) {
             state.rateLimiter.markReported()
             membership.sendHeartbeats()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -2,6 +2,7 @@
 
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.config.Service
+import io.jasmineford.gateway.rollout.VersionGate
 
 /**
  * Properties of a call that determine its endpoint.
@@ -10,12 +11,16 @@
  * @property version the only software version at which the call may run, as it goes on with a stream of that version;
  * null for any.
  * @property tried ids of the endpoints to which the call was sent before.
+ * @property route name of the call's route.
+ * @property callKey identifies the call; a rollout selects calls by it.
  */
 data class PlacementRequest(
     val service: Service,
     val affinity: String?,
     val tried: Set<String> = emptySet(),
     val version: String? = null,
+    val route: String = "",
+    val callKey: String = "",
 )
 
 /**
@@ -27,17 +32,30 @@
  *
  * @param zone availability zone of this daemon.
  * @param partOf the part of this daemon in the rates that all daemons share at an endpoint.
+ * @param versions decides which versions may get calls during a rollout.
  */
 class EndpointChooser(
     private val directory: EndpointDirectory,
     private val zone: String,
     private val clock: MonotonicClock,
+    private val versions: VersionGate,
     private val partOf: (Endpoint) -> RatePart,
 ) {
+    /** Chooser of a daemon that knows of no rollouts. */
+    constructor(
+        directory: EndpointDirectory,
+        zone: String,
+        clock: MonotonicClock,
+        partOf: (Endpoint) -> RatePart,
+    ) : this(directory, zone, clock, VersionGate(clock), partOf)
+
     /** Returns the endpoint for [request] and counts the call against its rates; null when the call has to wait. */
-    fun choose(request: PlacementRequest): EndpointState? {
+    fun choose(request: PlacementRequest): EndpointState? =
+        versions.candidates(request, usableFor(request)).firstNotNullOfOrNull { chooseFrom(it, request) }
+            ?.also { versions.recordPlaced(request, it) }
+
+    private fun chooseFrom(usable: List<EndpointState>, request: PlacementRequest): EndpointState? {
         val now = clock.now()
-        val usable = usableFor(request)
         val untried = usable.filter { it.endpoint.id !in request.tried }.ifEmpty { usable }
         val preferred = untried.filter { it.backoffUntil <= now }.ifEmpty { untried }
         val ranked = preferred.filter { hasFreeSlot(it) }.sortedBy { score(it, request) }
@@ -52,7 +70,12 @@
 
     private fun usableFor(request: PlacementRequest): List<EndpointState> {
         val usable = directory.usable(request.service.name)
-        return if (request.version == null) usable else usable.filter { it.endpoint.version == request.version }
+        return when {
+            request.version == null -> usable
+            versions.mayResume(request.service.name, request.version) ->
+                usable.filter { it.endpoint.version == request.version }
+            else -> emptyList()
+        }
     }
 
     private fun hasFreeSlot(state: EndpointState): Boolean = state.load < FULL_LOAD
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
@@ -20,6 +20,8 @@
         .help("Calls that were refused, by reason").labelNames("reason").register(registry)
     private val unmatched = Counter.builder().name("jasmineford_unmatched_responses_total")
         .help("Responses of endpoints that belong to no call in flight").register(registry)
+    private val rolloutDecisions = Counter.builder().name("jasmineford_rollout_decisions_total")
+        .help("Phases and final states of rollouts that this daemon applied").labelNames("decision").register(registry)
     private val latency = Histogram.builder().name("jasmineford_call_seconds")
         .help("Time from a call's arrival to the end of its answer").labelNames("kind")
         .classicOnly().classicUpperBounds(*LATENCY_BOUNDS).register(registry)
@@ -39,6 +41,9 @@
     /** Records a response of an endpoint that belongs to no call in flight. */
     fun unmatchedResponse() = unmatched.inc()
 
+    /** Records that this daemon applies the phase or final state [decision] of a rollout. */
+    fun rolloutDecision(decision: String) = rolloutDecisions.labelValues(decision).inc()
+
     /** Records that a call was sent to its first endpoint at time [after] its arrival. */
     fun placed(kind: RouteKind, after: Duration) =
         queueing.labelValues(kind.name).observe(after.toDouble(DurationUnit.SECONDS))
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -3,6 +3,8 @@
 import io.jasmineford.gateway.call.CrashReport
 import io.jasmineford.gateway.endpoint.RateReport
 import io.jasmineford.gateway.limit.AccountUsage
+import io.jasmineford.gateway.rollout.RolloutReport
+import io.jasmineford.gateway.rollout.RolloutState
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 
@@ -64,6 +66,8 @@
  * @property to incarnation of the receiver to which the sender addresses this message; -1 from older releases.
  * @property crashReports recent crashes of endpoints with the calls that were in work there.
  * @property responses ages in milliseconds of responses to calls in such crashes, by request fingerprint.
+ * @property rollouts open rollouts as the sender knows them.
+ * @property rolloutReports counts of calls of the sender, and of daemons for which it relays, during open rollouts.
  */
 @Serializable
 data class Heartbeat(
@@ -92,13 +96,17 @@
     val crashReports: List<CrashReport> = emptyList(),
     val responses: Map<String, Long> = emptyMap(),
     val to: Long = -1,
+    val rollouts: List<RolloutState> = emptyList(),
+    val rolloutReports: List<RolloutReport> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
         val chunks = uses.chunked(MAX_USES)
         if (chunks.size <= 1) return listOf(this)
         val first = copy(uses = chunks.first(), isUsageComplete = false)
-        val rest = chunks.drop(1).map { first.copy(uses = it, programs = emptyMap(), rates = emptyList()) }
+        val rest = chunks.drop(1).map {
+            first.copy(uses = it, programs = emptyMap(), rates = emptyList(), rolloutReports = emptyList())
+        }
         return listOf(first) + rest.dropLast(1) + rest.last().copy(isUsageComplete = isUsageComplete)
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
@@ -61,16 +61,13 @@
     }
 
     /** Number of entry daemons that may be admitting calls, this one included. */
-    fun entryCount(): Int {
-        val now = clock.now()
-        return peers.values.count { it.member.isEntry && mayAdmitCalls(it, now) } + 1
-    }
+    fun entryCount(): Int = peers.values.count { it.member.isEntry && mayAdmitCalls(it) } + 1
 
     /** Number of entry daemons that may be admitting calls without their rate limit usage being known here. */
     fun unresponsiveEntryCount(): Int {
         val now = clock.now()
         return peers.values.count {
-            it.member.isEntry && mayAdmitCalls(it, now) && now - it.lastAliveAt > USAGE_UNKNOWN_AFTER
+            it.member.isEntry && mayAdmitCalls(it) && now - it.lastAliveAt > USAGE_UNKNOWN_AFTER
         }
     }
 
@@ -86,10 +83,10 @@
         get() = peers.values.filter { clock.now() - it.lastSeenAt > EXPIRED_AFTER }.map { it.member }
 
     /**
-     * A daemon that sends no heartbeats is assumed to have lost contact with the store as well, and without that
-     * contact it stops admitting calls with a key.
+     * Whether [peer] may be admitting calls, heard or not. A daemon that sends no heartbeats is assumed to have lost
+     * contact with the store as well, and without that contact it stops admitting calls with a key.
      */
-    private fun mayAdmitCalls(peer: Peer, now: Duration): Boolean = now - peer.lastSeenAt < ADMISSION_TIMEOUT
+    fun mayAdmitCalls(peer: Peer): Boolean = clock.now() - peer.lastSeenAt < ADMISSION_TIMEOUT
 
     private companion object {
         /** More than four heartbeat periods of 200 ms, so single lost datagrams do not matter. */
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/VirtualFleet.kt
@@ -29,7 +29,7 @@
     private val capacityOf: (Int) -> Double = { 1.0 },
 ) {
     val clock = VirtualClock()
-    private val scheduler = VirtualScheduler(clock)
+    val scheduler = VirtualScheduler(clock)
     private val config = GatewayConfig(1, emptyList(), emptyList(), accounts, LIMITS)
     private val cut = HashSet<String>()
     private var sides: Map<String, Boolean> = emptyMap()
@@ -62,6 +62,16 @@
         cut += daemons.map { it.member.name }
     }
 
+    /** Starts a new process in place of [former]; the former one has to be cut off. */
+    fun restart(former: VirtualEntry): VirtualEntry {
+        val next = VirtualEntry(former.member.copy(incarnation = former.member.incarnation + 1))
+        byName[next.member.name] = next
+        cut -= next.member.name
+        byName.values.forEach { it.registered(byName.values.map(VirtualEntry::member)) }
+        next.start()
+        return next
+    }
+
     /** Drops all datagrams between daemons for which [side] differs. */
     fun cutBetween(side: (VirtualEntry) -> Boolean) {
         sides = daemons.associate { it.member.name to side(it) }
@@ -104,6 +114,10 @@
             exchange = { exchange },
         )
 
+        /** Adds to each heartbeat before it is sent, and reads each one that was applied. */
+        var extend: (Heartbeat, Peer) -> Heartbeat = { heartbeat, _ -> heartbeat }
+        var onApplied: (Peer) -> Unit = {}
+
         fun registered(members: List<Member>) {
             table.replaceMembers(members)
             exchange.membersChanged()
@@ -125,7 +139,7 @@
         }
 
         private fun send(peer: Peer) {
-            val heartbeat = state.heartbeat(isReady = true, isLeaving = false, receiver = peer)
+            val heartbeat = extend(state.heartbeat(isReady = true, isLeaving = false, receiver = peer), peer)
             deliver(member.name, peer.member.name, peer.addressed(heartbeat, clock.now()))
         }
 
@@ -134,6 +148,7 @@
             val expectsReply = exchange.onHeartbeat(peer)
             state.applyHeartbeat(peer)
             state.directory.applyRates(heartbeat.rates)
+            onApplied(peer)
             if (expectsReply) send(peer)
         }
     }
