--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CallServices.kt
@@ -8,6 +8,7 @@
 import io.jasmineford.gateway.limit.ProgramActivity
 import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.metrics.CallMetrics
+import io.jasmineford.gateway.rollout.VersionGate
 import io.jasmineford.gateway.store.Scheduler
 
 /** Collaborators of [ProxyCall], shared by all calls of a daemon. */
@@ -28,4 +29,5 @@
     val streamVersions: StreamVersions,
     val memory: MemoryBudget,
     val observer: CallObserver,
+    val versionGate: VersionGate = VersionGate(clock),
 )
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -6,6 +6,8 @@
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
 import io.jasmineford.gateway.http.CallerExchange
+import io.jasmineford.gateway.rollout.AttemptResult
+import io.jasmineford.gateway.rollout.AttemptUsage
 import io.netty.buffer.ByteBuf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -47,6 +49,7 @@
     private var progress: CallObserver.CallProgress? = null
     private var body: ByteBuf = call.request.body
     private var mayBeSent = true
+    private val usage = AttemptUsage(services.versionGate, clock, route.name)
     private val memory = services.memory.holder {
         attempt?.let {
             it.cancel()
@@ -131,7 +134,15 @@
         val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
             scheduling = call.scheduling,
-            placement = PlacementRequest(call.service, affinity, tried, streamVersion, work),
+            placement = PlacementRequest(
+                service = call.service,
+                affinity = affinity,
+                tried = tried,
+                version = streamVersion,
+                work = work,
+                route = route.name,
+                callKey = call.attributes.attemptId,
+            ),
             onPlaced = ::send,
             onRefused = { retryAfter ->
                 waiting = null
@@ -148,6 +159,7 @@
         progress = services.observer.begin(state, work, isWhole)
         if (sends == 0) services.metrics.placed(route.kind, clock.now() - call.arrivedAt)
         sends++
+        usage.start()
         tried.add(state.endpoint.id)
         val outcome = AttemptOutcome(state)
         val next = when (streamVersion) {
@@ -195,6 +207,7 @@
 
     private fun cancelAttempt(current: EndpointAttempt) {
         attempt = null
+        usage.end(current.state, AttemptResult.CANCELLED, turn.events)
         memory.hold(0)
         current.cancel()
         progress?.ended()
@@ -282,6 +295,7 @@
                     broken("stream was taken up without an event")
                 head.status >= SERVER_ERROR && route.isRepeatable && runs + 1 < route.maxAttempts -> {
                     state.recordFailure()
+                    usage.end(state, AttemptResult.FAILURE, turn.events)
                     response.log(
                         "endpoint-failed",
                         "endpoint" to state.endpoint.id,
@@ -293,6 +307,9 @@
                 }
                 else -> {
                     val timePerEvent = took / turn.events.coerceAtLeast(1)
+                    val isFailure = head.status >= SERVER_ERROR
+                    val result = if (isFailure) AttemptResult.FAILURE else AttemptResult.SUCCESS
+                    usage.end(state, result, turn.events)
                     val arrival = Arrival(attempt?.connectionNumber, attempt?.reads)
                     state.recordSuccess(services.latencyBaseline.relative(route.name, timePerEvent))
                     if (head.isSuccess) progress?.succeeded(took)
@@ -306,6 +323,7 @@
 
         override fun broken(reason: String) {
             state.recordFailure()
+            usage.end(state, AttemptResult.BROKEN, turn.events)
             if (responseBuffer.head == null) services.poisonCalls.recordCrash(call.fingerprint, state.endpoint.id)
             abandoned(reason)
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -30,6 +30,7 @@
 import io.jasmineford.gateway.peer.Peer
 import io.jasmineford.gateway.peer.PeerRole
 import io.jasmineford.gateway.peer.PeerTable
+import io.jasmineford.gateway.rollout.RolloutFormat
 import io.jasmineford.gateway.turn.StreamOrigins
 import io.jasmineford.gateway.turn.TokenReserver
 import kotlin.time.Duration
@@ -37,10 +38,15 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
-/** Daemon that accepts callers' connections and dispatches their calls to endpoints. */
+/**
+ * Daemon that accepts callers' connections and dispatches their calls to endpoints.
+ *
+ * @param rolloutFormat form of rollouts in the store; null where they are not in use.
+ */
 class EntryDaemon(
     private val node: NodeRuntime,
     names: CallHeaderNames,
+    rolloutFormat: RolloutFormat? = null,
 ) {
     private val metrics = CallMetrics()
     private val state = EntryState(
@@ -62,19 +68,26 @@
         node = node,
         policy = HeartbeatPolicy(
             targets = { exchange.targets() },
-            content = { state.heartbeat(isReady, shutdown.hasBegun, it) },
+            content = { rollouts.addTo(state.heartbeat(isReady, shutdown.hasBegun, it), it) },
             onHeartbeat = ::onHeartbeat,
             onMembers = { exchange.membersChanged() },
         ),
     )
     private val peers: PeerTable get() = membership.peers
     private val exchange: EntryExchange = EntryExchange(node.self, membership.peers, node.clock)
+    private val rollouts: EntryRollouts = EntryRollouts(
+        node = node,
+        format = rolloutFormat,
+        metrics = metrics,
+        sources = RolloutSources(state.directory, { view.contact }, { membership }, { exchange }),
+    )
     private val dispatcher = Dispatcher(
         chooser = EndpointChooser(
             directory = state.directory,
             zone = node.settings.zone,
             clock = node.clock,
             byWork = state.placement,
+            versions = rollouts.gate,
             partOf = state::ratePart,
         ),
         clock = node.clock,
@@ -113,6 +126,7 @@
         streamVersions = StreamVersions(StreamOrigins(quorum), state.directory::versionMix),
         memory = memory,
         observer = CallObserver(node.clock, state.placement, metrics::workEstimated),
+        versionGate = rollouts.gate,
     )
     private val openCalls = OpenCalls(services)
     private val server: CallerServer = CallerServer(
@@ -173,6 +187,7 @@
             view.contact.age().toDouble(DurationUnit.SECONDS)
         }
         metrics.gauge("jasmineford_config_version", "Version in force") { view.config?.version?.toDouble() ?: -1.0 }
+        rollouts.registerMetrics()
         metrics.observe(node.resources)
         MetricsServer(node.group, node.log, metrics, node.resources.listener(ProcessResources.METRICS_SHARE))
             .open(node.settings.metricsAddress)
@@ -194,6 +209,7 @@
     fun start() {
         membership.start()
         view.start()
+        rollouts.start()
         node.every(TICK_PERIOD, ::tick)
         node.every(CLEANUP_PERIOD) { if (isContactLeader()) membership.removeExpired() }
         node.log.event("started", "role" to "entry", "name" to node.settings.name, "zone" to node.settings.zone)
@@ -218,6 +234,7 @@
         if (!peer.member.isEntry) return
         val expectsReply = exchange.onHeartbeat(peer)
         state.applyHeartbeat(peer)
+        rollouts.onHeartbeat(peer)
         val changed = state.directory.applyRates(peer.heartbeat?.rates.orEmpty())
         changed.forEach { node.log.endpointRate(it, source = peer.member.name) }
         if (expectsReply) membership.sendHeartbeat(peer)
@@ -230,6 +247,7 @@
         overloadLog.onTick()
         state.countInFlight()
         contactProber.probeIfDue()
+        rollouts.tick()
         if (state.rateLimiter.hasUnreportedUsage()) {
             state.rateLimiter.markReported()
             membership.sendHeartbeats()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -4,6 +4,7 @@
 import io.jasmineford.gateway.config.Service
 import io.jasmineford.gateway.cost.CallWork
 import io.jasmineford.gateway.cost.WorkPlacement
+import io.jasmineford.gateway.rollout.VersionGate
 
 /**
  * Properties of a call that determine its endpoint.
@@ -13,6 +14,8 @@
  * null for any.
  * @property tried ids of the endpoints to which the call was sent before.
  * @property work expected work of the call; null when it is not known.
+ * @property route name of the call's route.
+ * @property callKey identifies the call; a rollout selects calls by it.
  */
 data class PlacementRequest(
     val service: Service,
@@ -20,6 +23,8 @@
     val tried: Set<String> = emptySet(),
     val version: String? = null,
     val work: CallWork? = null,
+    val route: String = "",
+    val callKey: String = "",
 )
 
 /**
@@ -31,6 +36,7 @@
  *
  * @param zone availability zone of this daemon.
  * @param byWork placement by remaining work; null to count calls only.
+ * @param versions decides which versions may get calls during a rollout.
  * @param partOf the part of this daemon in the rates that all daemons share at an endpoint.
  */
 class EndpointChooser(
@@ -38,12 +44,16 @@
     private val zone: String,
     private val clock: MonotonicClock,
     private val byWork: WorkPlacement? = null,
+    private val versions: VersionGate = VersionGate(clock),
     private val partOf: (Endpoint) -> RatePart,
 ) {
     /** Returns the endpoint for [request] and counts the call against its rates; null when the call has to wait. */
-    fun choose(request: PlacementRequest): EndpointState? {
+    fun choose(request: PlacementRequest): EndpointState? =
+        versions.candidates(request, usableFor(request)).firstNotNullOfOrNull { chooseFrom(it, request) }
+            ?.also { versions.recordPlaced(request, it) }
+
+    private fun chooseFrom(usable: List<EndpointState>, request: PlacementRequest): EndpointState? {
         val now = clock.now()
-        val usable = usableFor(request)
         val untried = usable.filter { it.endpoint.id !in request.tried }.ifEmpty { usable }
         val preferred = untried.filter { it.backoffUntil <= now }.ifEmpty { untried }
         val free = preferred.filter { hasFreeSlot(it) }
@@ -64,7 +74,12 @@
 
     private fun usableFor(request: PlacementRequest): List<EndpointState> {
         val usable = directory.usable(request.service.name)
-        return if (request.version == null) usable else usable.filter { it.endpoint.version == request.version }
+        return when {
+            request.version == null -> usable
+            versions.mayResume(request.service.name, request.version) ->
+                usable.filter { it.endpoint.version == request.version }
+            else -> emptyList()
+        }
     }
 
     private fun hasFreeSlot(state: EndpointState): Boolean = state.load < FULL_LOAD
@@ -80,12 +95,10 @@
 
     private fun zoneCost(state: EndpointState): Double = if (state.endpoint.zone == zone) 0.0 else OTHER_ZONE_COST
 
-    private fun affinityCost(state: EndpointState, request: PlacementRequest): Double =
-        request.affinity?.let { affinityCost(it, state.endpoint.id) } ?: 0.0
-
     /** Rendezvous hashing: all daemons prefer the same endpoint for the same key without coordination. */
-    private fun affinityCost(value: String, endpointId: String): Double {
-        val hash = (value.hashCode() * HASH_FACTOR + endpointId.hashCode()) * HASH_FACTOR
+    private fun affinityCost(state: EndpointState, request: PlacementRequest): Double {
+        val key = request.affinity ?: return 0.0
+        val hash = (key.hashCode() * HASH_FACTOR + state.endpoint.id.hashCode()) * HASH_FACTOR
         return ((hash xor (hash ushr HASH_SHIFT)) and HASH_MASK).toDouble() / HASH_MASK * AFFINITY_COST
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/metrics/CallMetrics.kt
@@ -27,6 +27,9 @@
         .help("Calls that were refused, by reason").labelNames("reason").withoutExemplars().register(registry)
     private val unmatched = Counter.builder().name("jasmineford_unmatched_responses_total")
         .help("Responses of endpoints that belong to no call in flight").withoutExemplars().register(registry)
+    private val rolloutDecisions = Counter.builder().name("jasmineford_rollout_decisions_total")
+        .help("Phases and final states of rollouts that this daemon applied").labelNames("decision")
+        .withoutExemplars().register(registry)
     private val latency = Histogram.builder().name("jasmineford_call_seconds")
         .help("Time from a call's arrival to the end of its answer").labelNames("kind")
         .classicOnly().classicUpperBounds(*LATENCY_BOUNDS).withoutExemplars().register(registry)
@@ -36,7 +39,7 @@
 
     private val estimates = Histogram.builder().name("jasmineford_work_estimate_ratio")
         .help("Actual over estimated work of successful calls")
-        .classicOnly().classicUpperBounds(*RATIO_BOUNDS).register(registry)
+        .classicOnly().classicUpperBounds(*RATIO_BOUNDS).withoutExemplars().register(registry)
 
     /** Records that a call's actual work was [ratio] times the estimate at its placement. */
     fun workEstimated(ratio: Double) = estimates.observe(ratio)
@@ -53,6 +56,9 @@
     /** Records a response of an endpoint that belongs to no call in flight. */
     fun unmatchedResponse() = unmatched.inc()
 
+    /** Records that this daemon applies the phase or final state [decision] of a rollout. */
+    fun rolloutDecision(decision: String) = rolloutDecisions.labelValues(decision).inc()
+
     /** Records that a call was sent to its first endpoint at time [after] its arrival. */
     fun placed(kind: RouteKind, after: Duration) =
         queueing.labelValues(kind.name).observe(after.toDouble(DurationUnit.SECONDS))
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -3,6 +3,8 @@
 import io.jasmineford.gateway.call.CrashReport
 import io.jasmineford.gateway.endpoint.RateReport
 import io.jasmineford.gateway.limit.AccountUsage
+import io.jasmineford.gateway.rollout.RolloutReport
+import io.jasmineford.gateway.rollout.RolloutState
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 
@@ -69,6 +71,8 @@
  * @property workMillis what is left of the calls in flight in milliseconds on a reference endpoint, in the order of
  * [inFlight]; empty where it is not used.
  * @property workBlocks memory that the calls in flight take in blocks of 64 tokens, in the order of [inFlight].
+ * @property rollouts open rollouts as the sender knows them.
+ * @property rolloutReports counts of calls of the sender, and of daemons for which it relays, during open rollouts.
  */
 @Serializable
 data class Heartbeat(
@@ -101,13 +105,17 @@
     val overloaded: List<Int> = emptyList(),
     val workMillis: List<Int> = emptyList(),
     val workBlocks: List<Int> = emptyList(),
+    val rollouts: List<RolloutState> = emptyList(),
+    val rolloutReports: List<RolloutReport> = emptyList(),
 ) {
     /** This heartbeat in parts that fit into a datagram each; the last part completes the usage. */
     fun parts(): List<Heartbeat> {
         val chunks = uses.chunked(MAX_USES)
         if (chunks.size <= 1) return listOf(this)
         val first = copy(uses = chunks.first(), isUsageComplete = false)
-        val rest = chunks.drop(1).map { first.copy(uses = it, programs = emptyMap(), rates = emptyList()) }
+        val rest = chunks.drop(1).map {
+            first.copy(uses = it, programs = emptyMap(), rates = emptyList(), rolloutReports = emptyList())
+        }
         return listOf(first) + rest.dropLast(1) + rest.last().copy(isUsageComplete = isUsageComplete)
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.settings
 
 import io.jasmineford.gateway.limit.RateLimitTolerance
+import io.jasmineford.gateway.rollout.RolloutBounds
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 
@@ -38,6 +39,7 @@
  * @property maxDescriptors descriptors that the process may open; 0 if its own limit applies only.
  * @property diskBytes space that the daemon may use in [dataDirectory]; 0 if it is not limited.
  * @property placesByWork whether calls to all services are placed by the remaining work of endpoints.
+ * @property rollouts bounds of rollouts; null where they are not in use.
  */
 data class NodeSettings(
     val name: String,
@@ -58,4 +60,5 @@
     val diskBytes: Long = 0,
     val maxDescriptors: Int = 0,
     val placesByWork: Boolean = false,
+    val rollouts: RolloutBounds? = null,
 )
