--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ListenerResources.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ListenerResources.kt
@@ -68,15 +68,19 @@
         /** A body of 4 MB behind a head of 16 KB, 1 MB with the objects of its lines, fits. */
         private const val MIN_REQUEST_BYTES = 8L * 1024 * 1024
 
-        /** The smaller one of the process's own limit and [configured], which is 0 if it is not limited. */
-        fun descriptorLimit(configured: Int): Int {
+        /**
+         * The [configured] number if there is one, else the process's own limit. What the operating system reports may
+         * not be what the deployment grants: a limit that it reports smaller would close connections of usual callers.
+         */
+        fun descriptorLimit(configured: Int): Int = if (configured > 0) configured else ownDescriptorLimit()
+
+        private fun ownDescriptorLimit(): Int {
             val line = try {
                 File("/proc/self/limits").useLines { lines -> lines.firstOrNull { it.startsWith("Max open files") } }
             } catch (_: IOException) {
                 null
             }
-            val ofProcess = line?.split(' ')?.firstNotNullOfOrNull { it.toIntOrNull() } ?: Int.MAX_VALUE
-            return minOf(ofProcess, if (configured > 0) configured else Int.MAX_VALUE)
+            return line?.split(' ')?.firstNotNullOfOrNull { it.toIntOrNull() } ?: Int.MAX_VALUE
         }
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/settings/NodeSettings.kt
@@ -36,7 +36,7 @@
  * @property isFirstStart whether the whole system starts for the first time, so that an empty disk is complete.
  * @property toleratedDiskLosses number of disks that may be lost at the same time without losing history.
  * @property processorCapacity processor capacity of this machine, in cores of the reference machine.
- * @property maxDescriptors descriptors that the process may open; 0 if its own limit applies only.
+ * @property maxDescriptors descriptors that the process may open; 0 if its own limit applies.
  * @property diskBytes space that the daemon may use in [dataDirectory]; 0 if it is not limited.
  * @property placesByWork whether calls to all services are placed by the remaining work of endpoints.
  * @property rollouts bounds of rollouts; null where they are not in use.
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/ConnectionLimitTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/ConnectionLimitTest.kt
@@ -36,4 +36,10 @@
         assertEquals(emptyList(), evicted)
         assertEquals(2, limit.count)
     }
+
+    /** Guards against usual callers that are cut off because the operating system reports a small limit. */
+    @Test
+    fun `the configured number of descriptors counts whatever the process's own limit is`() {
+        assertEquals(Int.MAX_VALUE, ProcessResources.descriptorLimit(Int.MAX_VALUE))
+    }
 }
