--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/RolloutDaemonTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/RolloutDaemonTest.kt
@@ -26,6 +26,8 @@
 import io.jasmineford.gateway.store.StoredObject
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
 import java.io.IOException
 import java.net.InetAddress
 import java.net.InetSocketAddress
@@ -40,8 +42,6 @@
 import kotlin.test.assertEquals
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.JsonPrimitive
 
 /**
  * An entry daemon that rolls a service out between two endpoints. Guards against a daemon that doesn't connect orders,
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/rollout/FakeRolloutStore.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/rollout/FakeRolloutStore.kt
@@ -8,12 +8,12 @@
 import io.jasmineford.gateway.store.SilentObjectStore
 import io.jasmineford.gateway.store.StoreReply
 import io.jasmineford.gateway.store.StoredObject
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonPrimitive
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.JsonPrimitive
 
 /** Orders as `TO/SECONDS` and status as `STATE/TO`. */
 internal object TestFormat : RolloutFormat {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/store/ObjectMirrorTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/store/ObjectMirrorTest.kt
@@ -3,13 +3,13 @@
 import io.jasmineford.core.time.VirtualClock
 import io.jasmineford.gateway.VirtualScheduler
 import io.jasmineford.gateway.noOpLog
+import kotlinx.serialization.json.JsonPrimitive
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.serialization.json.JsonPrimitive
 
 class ObjectMirrorTest {
     private val clock = VirtualClock()
