Tell the other daemons and callers of an overload

Cause: EntryDaemon built its exchange without the gate's pressure, whose parameter had a default of 0. Change: the daemon passes it, and the parameter has no default, so the compiler finds such an omission. Result: OverloadedFleetTest, FleetExchangeTest and RolloutDaemonTest pass. No run with real processes yet.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -74,7 +74,8 @@
         ),
     )
     private val peers: PeerTable get() = membership.peers
-    private val exchange: EntryExchange = EntryExchange(node.self, membership.peers, node.clock)
+    private val exchange: EntryExchange =
+        EntryExchange(node.self, membership.peers, node.clock) { pressureGate.pressure }
     private val rollouts: EntryRollouts = EntryRollouts(
         node = node,
         format = rolloutFormat,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/EntryExchange.kt
@@ -39,7 +39,7 @@
     private val self: Member,
     private val peers: PeerTable,
     private val clock: MonotonicClock,
-    private val pressure: () -> Double = { 0.0 },
+    private val pressure: () -> Double,
 ) {
     /** The registered entry daemons and the relays among them. */
     val selection = RelaySelection(self, clock)
