Test overload with the measured cost of a rejection and the targets

Cause: the tests took a rejection for 0.05 of a call, and the bounds of the burst (0.65), the hot account (0.6) and the return from a kill (0.35 of the nominal capacity) came from results. Of a cold daemon 441 calls fit into these 10 s, so 0.35 was 0.79 of them. Change: the cost is 0.11, the bounds 0.8 (of what fits after a kill). A test listed in KNOWN-RED.txt has to fail and prints its failure.

--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/LoadModel.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/LoadModel.kt
@@ -124,7 +124,8 @@
     }
 
     companion object {
-        const val REJECTION_COST = 0.05
+        /** Ratio of CPU times over kept connections, measured with the soak's `RejectionCost`; see overload.md. */
+        const val REJECTION_COST = 0.11
         val TICK = 50.milliseconds
     }
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/OverloadTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/OverloadTest.kt
@@ -1,98 +1,84 @@
 package io.jasmineford.gateway.load
 
-import kotlin.math.PI
-import kotlin.math.sin
+import org.junit.jupiter.api.TestInfo
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.test.assertTrue
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
  * Guards against goodput that collapses under overload, when the processor's time goes into calls that their callers
- * have given up.
+ * have given up, or into rejections.
  */
 class OverloadTest {
-    private fun forEachSeed(
-        endpointTime: (Duration) -> Duration = { 100.milliseconds },
-        costFactor: (Int) -> Double = { 1.0 },
-        check: (LoadModel) -> Unit,
-    ) = repeat(SEEDS) { check(LoadModel(CAPACITY, isGated = true, seed = it, endpointTime, costFactor)) }
-
-    private fun List<ModelCall>.answered() = count { it.isAnswered }
-    private fun List<ModelCall>.between(from: Duration, until: Duration) = filter { it.at >= from && it.at < until }
-
-    private fun assertShare(least: Double, calls: List<ModelCall>, of: Double = calls.size.toDouble()) {
-        assertTrue(
-            calls.answered() >= least * of,
-            "${calls.answered()} of ${calls.size} calls answered, expected $least of $of",
-        )
+    @Test
+    fun `goodput stays above four fifths of the capacity at twice the capacity`(test: TestInfo) = checkSeeds(test) {
+        twiceTheCapacity()
+        run(30.seconds)
+        assertShare(0.8, calls, of = CAPACITY * 20)
     }
 
     @Test
-    fun `goodput stays above four fifths of the capacity at twice the capacity`() = forEachSeed { model ->
-        model.arrivals(0.seconds, 20.seconds, CAPACITY * 2)
-        model.run(30.seconds)
-        assertShare(0.8, model.calls, of = CAPACITY * 20)
+    fun `goodput stays above four fifths of the capacity in a burst`(test: TestInfo) = checkSeeds(test) {
+        burst()
+        run(20.seconds)
+        assertShare(0.8, calls.between(3.seconds, 7.seconds), of = CAPACITY * 4)
     }
 
     @Test
-    fun `load that fits is served again two seconds after a burst`() = forEachSeed { model ->
-        model.arrivals(0.seconds, 15.seconds, CAPACITY * 0.7)
-        model.arrivals(3.seconds, 7.seconds, CAPACITY * 2)
-        model.run(20.seconds)
-        assertShare(0.65, model.calls.between(3.seconds, 7.seconds), of = CAPACITY * 4)
-        assertShare(0.99, model.calls.between(9.seconds, 15.seconds))
-    }
+    fun `goodput stays above four fifths of what fits while the load rises and falls`(test: TestInfo) =
+        checkSeeds(test) {
+            val fits = wave()
+            run(30.seconds)
+            assertShare(0.8, calls, of = fits)
+        }
 
     @Test
-    fun `goodput stays above four fifths of what fits while the load rises and falls`() = forEachSeed { model ->
-        var fits = 0.0
-        repeat(200) { step ->
-            val rate = CAPACITY * (1.4 + 1.1 * sin(2 * PI * step / 80))
-            fits += minOf(rate, CAPACITY) / 10
-            val from = 100.milliseconds * step
-            model.arrivals(from, from + 100.milliseconds, rate)
+    fun `an account that sends many calls takes nothing from the shares of the others`(test: TestInfo) =
+        checkSeeds(test) {
+            hotAccount(OTHERS)
+            run(30.seconds)
+            assertShare(0.97, calls.filter { it.account in OTHERS })
         }
-        model.run(30.seconds)
-        assertShare(0.8, model.calls, of = fits)
-    }
 
     @Test
-    fun `an account that sends many calls takes nothing from the shares of the others`() = forEachSeed { model ->
-        model.arrivals(0.seconds, 20.seconds, CAPACITY * 3, account = "hot")
-        val others = listOf("b", "c", "d")
-        others.forEach { model.arrivals(0.seconds, 20.seconds, CAPACITY * 0.1, account = it) }
-        model.run(30.seconds)
-        assertShare(0.97, model.calls.filter { it.account in others })
-        assertShare(0.6, model.calls, of = CAPACITY * 20)
-    }
+    fun `goodput stays above four fifths of the capacity beside an account that sends many calls`(test: TestInfo) =
+        checkSeeds(test) {
+            hotAccount(OTHERS)
+            run(30.seconds)
+            assertShare(0.8, calls, of = CAPACITY * 20)
+        }
 
     @Test
-    fun `nothing is shed while slow endpoints leave the loop on time`() = forEachSeed(
+    fun `nothing is shed while slow endpoints leave the loop on time`(test: TestInfo) = checkSeeds(
+        test,
         endpointTime = { if (it < 5.seconds) 100.milliseconds else 1500.milliseconds },
-    ) { model ->
-        model.arrivals(0.seconds, 20.seconds, CAPACITY * 0.8)
-        model.run(25.seconds)
-        assertEquals(0, model.sheds)
-        assertShare(1.0, model.calls)
+    ) {
+        arrivals(0.seconds, 20.seconds, CAPACITY * 0.8)
+        run(25.seconds)
+        assertEquals(0, sheds)
+        assertShare(1.0, calls)
     }
 
     @Test
-    fun `programs under way go on at daemons that are back from a kill`() = forEachSeed(
-        costFactor = { 1 + 2.0 * (1 - it / 600.0).coerceAtLeast(0.0) },
-    ) { model ->
-        // Half of the fleet's load returns to a daemon that has to compile its code: calls cost three times as much.
-        model.arrivals(0.seconds, 10.seconds, CAPACITY * 0.25, shedClass = ShedClass.UNDER_WAY)
-        model.arrivals(0.seconds, 10.seconds, CAPACITY * 1.2, shedClass = ShedClass.STARTING)
-        model.run(20.seconds)
-        assertShare(0.85, model.calls.filter { it.shedClass == ShedClass.UNDER_WAY })
-        assertShare(0.35, model.calls, of = CAPACITY * 10)
-    }
+    fun `programs under way go on at daemons that are back from a kill`(test: TestInfo) =
+        checkSeeds(test, costFactor = ::coldCost) {
+            backFromKill()
+            run(20.seconds)
+            assertShare(0.85, calls.filter { it.shedClass == ShedClass.UNDER_WAY })
+        }
+
+    @Test
+    fun `goodput stays above four fifths of what fits at daemons that are back from a kill`(test: TestInfo) =
+        checkSeeds(test, costFactor = ::coldCost) {
+            backFromKill()
+            run(20.seconds)
+            val work = generateSequence(0) { it + 1 }.runningFold(0.0) { sum, taken -> sum + coldCost(taken) }
+            val fits = work.indexOfFirst { it > CAPACITY * 10 } - 1.0
+            assertShare(0.8, calls, of = fits)
+        }
 
     private companion object {
-        const val CAPACITY = 100.0
-        const val SEEDS = 10
+        val OTHERS = listOf("b", "c", "d")
     }
 }
