Check known failures of overload with the former cost too

Cause: a listed test has to fail, so a fault of the gate's decisions would hide behind the cost of rejections. Change: a listed test runs also with 0.05 of a call for a rejection and has to pass; goodput beside a hot account keeps its bound of 0.6 there.

--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/LoadModel.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/LoadModel.kt
@@ -22,7 +22,7 @@
 
 /**
  * Daemon whose processor serves [callsPerSecond], half of a call's work on its arrival and half on the response of its
- * endpoint; a rejection takes [REJECTION_COST] of a call. It works on one iteration of its event loop at a time, as the
+ * endpoint; a rejection takes [rejectionCost] of a call. It works on one iteration of its event loop at a time, as the
  * real one does. Callers repeat a call once or twice: after a
  * rejection within its timeout, after the timeout with a new one.
  *
@@ -35,6 +35,7 @@
     seed: Int,
     private val endpointTime: (Duration) -> Duration = { 100.milliseconds },
     private val costFactor: (Int) -> Double = { 1.0 },
+    val rejectionCost: Double = REJECTION_COST,
 ) {
     private class Event(val at: Duration, val order: Int, val run: () -> Unit)
 
@@ -99,7 +100,7 @@
         } else {
             sheds++
             call.sheds++
-            work(REJECTION_COST)
+            work(rejectionCost)
             val left = expiresAt - clock.now()
             if (left > Duration.ZERO) retry(call, clock.now() + minOf(shed.retryAfter, left / 3), expiresAt)
         }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/LoadPatterns.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/LoadPatterns.kt
@@ -11,11 +11,14 @@
 import kotlin.time.Duration.Companion.seconds
 
 internal const val CAPACITY = 100.0
+
+/** Cost of a rejection that the gate's decisions were tuned for; known failures are still checked with it. */
+internal const val FORMER_REJECTION_COST = 0.05
 private const val SEEDS = 10
 
 /**
  * Runs [check] of [test] on a model of each seed. A test that is listed in `KNOWN-RED.txt` has to fail, so that the
- * list stays true, and its failure is printed.
+ * list stays true, and its failure is printed; it has to pass with [FORMER_REJECTION_COST].
  */
 internal fun checkSeeds(
     test: TestInfo,
@@ -24,11 +27,15 @@
     check: LoadModel.() -> Unit,
 ) {
     val name = "${test.testClass.get().name}.${test.testMethod.get().name}"
-    val run = { repeat(SEEDS) { LoadModel(CAPACITY, isGated = true, seed = it, endpointTime, costFactor).check() } }
+    val run = { cost: Double ->
+        repeat(SEEDS) { LoadModel(CAPACITY, isGated = true, seed = it, endpointTime, costFactor, cost).check() }
+    }
     if (File("../KNOWN-RED.txt").readLines().none { "test=\"$name\"" in it }) {
-        run()
+        run(LoadModel.REJECTION_COST)
     } else {
-        println("known failure of $name: ${assertFailsWith<AssertionError>(block = run).message}")
+        val failure = assertFailsWith<AssertionError> { run(LoadModel.REJECTION_COST) }
+        println("known failure of $name: ${failure.message}")
+        run(FORMER_REJECTION_COST)
     }
 }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/OverloadTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/load/OverloadTest.kt
@@ -46,7 +46,9 @@
         checkSeeds(test) {
             hotAccount(OTHERS)
             run(30.seconds)
-            assertShare(0.8, calls, of = CAPACITY * 20)
+            // The target was not met with the former cost either; that check keeps its former bound.
+            val share = if (rejectionCost == FORMER_REJECTION_COST) 0.6 else 0.8
+            assertShare(share, calls, of = CAPACITY * 20)
         }
 
     @Test
