Spare daemons the search for annotations of Netty's handlers

Cause: for each class of a handler Netty looks for the annotation that lets it be in several pipelines. The JDK then reads all annotations of the class, Kotlin's metadata included, and generates a proxy class for each of their types at run time; the class archive can't hold these. The log of loaded classes of an entry daemon shows 8 of them, and some 20 ms of the main thread around those of Kotlin (0.502 to 0.524 s after the start of the JVM). Change: the handlers override isSharable, and overrides of a deprecated function are marked by @Suppress, which isn't in the class file. Ruled out: the proxy for Netty's own annotation of handler methods is generated on any path.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
@@ -36,7 +35,7 @@
     private val log: EventLog,
     private val resources: ListenerResources,
     private val handler: CallerHandler,
-) : ChannelInboundHandlerAdapter() {
+) : UnsharedHandler() {
     constructor(
         channel: Channel,
         limits: CallLimits,
@@ -196,7 +195,7 @@
     /** A request that has been read. [cost] is its part of the footprint. */
     private class WaitingRequest(val request: HttpRequest, val body: ByteBuf, val cost: Long)
 
-    @Deprecated("Deprecated in the supertype")
+    @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         channel.closeAfter(cause, log)
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
@@ -55,6 +55,8 @@
                 AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES),
             )
             .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun isSharable() = true
+
                 override fun initChannel(channel: SocketChannel) = accept(channel)
             })
             .bind(address).syncUninterruptibly().channel()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/HttpClientConnection.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -168,7 +167,7 @@
         channel.close()
     }
 
-    private inner class Handler : ChannelInboundHandlerAdapter() {
+    private inner class Handler : UnsharedHandler() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             try {
                 if (message is HttpObject && message.decoderResult().isFailure) {
@@ -192,7 +191,7 @@
 
         override fun channelInactive(context: ChannelHandlerContext) = fail("connection closed")
 
-        @Deprecated("Deprecated in the supertype")
+        @Suppress("OVERRIDE_DEPRECATION")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
             fail(cause.message ?: cause.toString())
     }
@@ -220,6 +219,8 @@
                 // Reports the server's orderly close, which is told from a reset by nothing else.
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(object : ChannelInitializer<SocketChannel>() {
+                    override fun isSharable() = false
+
                     override fun initChannel(channel: SocketChannel) {
                         KeepAliveProbes().applyTo(channel)
                         connection = HttpClientConnection(channel, onUnmatched).also { it.install() }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/OutboundBytes.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/OutboundBytes.kt
@@ -17,6 +17,8 @@
         channel.close()
     }
 
+    override fun isSharable() = false
+
     override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
         val bytes = (message as? ByteBuf)?.readableBytes()?.toLong() ?: 0
         val next = promise.unvoid()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/RequestDecoder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/RequestDecoder.kt
@@ -18,6 +18,8 @@
 
     private class Count(val bytes: Int, val lines: Int)
 
+    override fun isSharable() = false
+
     override fun decode(context: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
         if (isEnded) {
             head = Count(0, 0)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ResponseDecoder.kt
@@ -18,6 +18,8 @@
     private var isInputShutDown = false
     private var isReadStart = false
 
+    override fun isSharable() = false
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         matcher.readStarted()
         isReadStart = true
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
@@ -46,6 +46,8 @@
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun isSharable() = false
+
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             try {
                 onHeartbeat(peerCbor.decodeFromByteArray(ByteBufUtil.getBytes(packet.content())))
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
@@ -15,6 +15,8 @@
 /** Decoder of frames that start with their length in four bytes; [onHeld] gets the bytes of an incomplete frame. */
 internal fun frameDecoder(onHeld: (bytes: Long) -> Unit = {}): LengthFieldBasedFrameDecoder =
     object : LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES) {
+        override fun isSharable() = false
+
         override fun decode(context: ChannelHandlerContext, buffer: ByteBuf): Any? {
             val frame = super.decode(context, buffer)
             onHeld(buffer.readableBytes().toLong())
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.turn
 
 import io.jasmineford.core.time.MonotonicClock
+import io.jasmineford.gateway.http.UnsharedHandler
 import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.peer.peerCbor
@@ -8,7 +9,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -94,6 +94,8 @@
         Bootstrap().group(group).channel(NioSocketChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT.inWholeMilliseconds.toInt())
             .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun isSharable() = false
+
                 override fun initChannel(channel: SocketChannel) {
                     frameKeepAlive.applyTo(channel)
                     channel.pipeline().addLast(frameDecoder(), ReplyHandler())
@@ -130,7 +132,7 @@
         failed.forEach { it.onReply(null) }
     }
 
-    private inner class ReplyHandler : ChannelInboundHandlerAdapter() {
+    private inner class ReplyHandler : UnsharedHandler() {
         override fun channelActive(context: ChannelHandlerContext) = opened(context.channel())
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -146,7 +148,7 @@
             }
         }
 
-        @Deprecated("Deprecated in the supertype")
+        @Suppress("OVERRIDE_DEPRECATION")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             log.event("history-connection-error", "daemon" to member.name, "reason" to cause)
             context.close()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryServer.kt
@@ -6,12 +6,12 @@
 import io.jasmineford.gateway.http.OutboundBytes
 import io.jasmineford.gateway.http.RejectionLog
 import io.jasmineford.gateway.http.RejectionReason
+import io.jasmineford.gateway.http.UnsharedHandler
 import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.peer.peerCbor
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
@@ -35,6 +35,8 @@
     fun open(address: InetSocketAddress) {
         ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun isSharable() = true
+
                 override fun initChannel(channel: SocketChannel) = accept(channel)
             })
             .bind(address).syncUninterruptibly().channel()
@@ -65,7 +67,7 @@
         channel.close()
     }
 
-    private inner class RequestHandler(private val place: ConnectionLimit.Place) : ChannelInboundHandlerAdapter() {
+    private inner class RequestHandler(private val place: ConnectionLimit.Place) : UnsharedHandler() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             // The connections that are used the least recently come first when one has to be closed.
             place.endRequests()
@@ -75,7 +77,7 @@
             }
         }
 
-        @Deprecated("Deprecated in the supertype")
+        @Suppress("OVERRIDE_DEPRECATION")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             log.event("history-connection-error", "peer" to context.channel().remoteAddress(), "reason" to cause)
             context.close()
