--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -63,6 +63,9 @@
     }
     private var countedAt = -Duration.INFINITE
 
+    /** Whether calls in flight at peers were counted at an endpoint by the latest sum. */
+    private var hasCallsAtPeers = false
+
     /** Endpoints with their calls in flight. */
     val directory = EndpointDirectory(clock)
 
@@ -163,7 +166,11 @@
         currentNeighbours.value.forEach { peer ->
             peer.heartbeat?.inFlight?.forEach { (id, calls) -> total.merge(id, calls, Int::plus) }
         }
-        directory.all.forEach { it.inFlightAtPeers = if (total.isEmpty()) 0 else total[it.endpoint.id] ?: 0 }
+        // Runs at each tick, and an idle fleet has no calls to distribute over its many endpoints.
+        if (total.isNotEmpty() || hasCallsAtPeers) {
+            directory.all.forEach { it.inFlightAtPeers = total[it.endpoint.id] ?: 0 }
+        }
+        hasCallsAtPeers = total.isNotEmpty()
         workReports.apply(currentNeighbours.value.mapNotNull { it.heartbeat })
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
@@ -36,8 +36,7 @@
     /** Sends [heartbeat] to [member]; delivery is not guaranteed. */
     fun send(member: Member, heartbeat: Heartbeat) {
         val bytes = peerCbor.encodeToByteArray(heartbeat)
-        val target = InetSocketAddress(member.ip, member.peerPort)
-        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), target))
+        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), member.peerAddress))
     }
 
     private companion object {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerMessage.kt
@@ -7,6 +7,7 @@
 import io.jasmineford.gateway.rollout.RolloutState
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
+import java.net.InetSocketAddress
 
 /**
  * A daemon as registered in the platform's store.
@@ -31,6 +32,9 @@
 ) {
     /** Short id of this member in lists of daemons within heartbeats. */
     val shortId: Int get() = name.hashCode()
+
+    /** Address for heartbeats; resolved once only, as some are sent every second. */
+    val peerAddress: InetSocketAddress by lazy(LazyThreadSafetyMode.NONE) { InetSocketAddress(ip, peerPort) }
 }
 
 /** Rows of usage in one datagram: some 50 bytes each, with room for the rest of the heartbeat. */
