--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/FleetExchangeTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/FleetExchangeTest.kt
@@ -55,6 +55,19 @@
         }
     }
 
+    /** Guards against calls that stay counted because no neighbour reports any more. */
+    @Test
+    fun `calls that have ended are counted nowhere`() {
+        val fleet = VirtualFleet(8)
+        fleet.daemons.forEach { it.state.directory.replace(listOf(endpoint("e1"), endpoint("e2"))) }
+        listOf(1, 0).forEach { calls ->
+            fleet.daemons.first().state.directory.all.forEach { it.inFlight = calls }
+            fleet.run(2.seconds)
+            val seen = fleet.daemons.drop(1).flatMap { daemon -> daemon.state.directory.all.map { it.inFlightAtPeers } }
+            assertEquals(List(14) { calls }, seen)
+        }
+    }
+
     @Test
     fun `the contact of one daemon with the store keeps all daemons in contact`() {
         val fleet = VirtualFleet(120, lossRate = 0.02)
