--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/HeartbeatSocket.kt
@@ -36,8 +36,7 @@
     /** Sends [heartbeat] to [member]; delivery is not guaranteed. */
     fun send(member: Member, heartbeat: Heartbeat) {
         val bytes = peerCbor.encodeToByteArray(heartbeat)
-        val target = InetSocketAddress(member.ip, member.peerPort)
-        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), target))
+        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), member.peerAddress))
     }
 
     private companion object {
@@ -46,6 +45,8 @@
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun isSharable() = false
+
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             try {
                 onHeartbeat(peerCbor.decodeFromByteArray(ByteBufUtil.getBytes(packet.content())))
