Write each part of a stream to the caller as one buffer

Netty's encoder passes on three buffers for each chunk: size, data and line end. Each goes through the pipeline with its own promise, and the socket gets a gathering write.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -242,7 +241,7 @@
         }
 
         override fun sendPart(data: ByteBuf) {
-            if (isOpen) channel.writeAndFlush(DefaultHttpContent(data)).closeOnFailure(log) else data.release()
+            if (isOpen) channel.writeAndFlush(StreamPart(data)).closeOnFailure(log) else data.release()
         }
 
         override fun endAnswer() {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.net.InetSocketAddress
 
@@ -89,7 +88,7 @@
         channel.pipeline().addLast(
             OutboundBytes(channel, resources.unread, log),
             RequestDecoder(current.maxHeaderBytes, connection.footprint),
-            HttpResponseEncoder(),
+            ResponseEncoder(),
             connection,
         )
     }
