Write frames to history daemons from one direct buffer

A frame was a composite of two heap buffers, which Netty copied into a direct buffer by way of the composite's NIO views. The length and the bytes are now written into a direct buffer at once. The bytes on the wire are the same.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
@@ -3,7 +3,6 @@
 import io.jasmineford.gateway.http.KeepAliveProbes
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
@@ -29,10 +28,9 @@
     release()
 }
 
-/** Writes [bytes] as one frame and flushes it. */
+/** Writes [bytes] as one frame and flushes it; the direct buffer goes to the socket without another copy. */
 internal fun Channel.writeFrame(bytes: ByteArray) {
-    val head = Unpooled.buffer(LENGTH_BYTES).writeInt(bytes.size)
-    writeAndFlush(Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(bytes)))
+    writeAndFlush(alloc().directBuffer(LENGTH_BYTES + bytes.size).writeInt(bytes.size).writeBytes(bytes))
 }
 
 /** TCP keep-alive settings of connections between daemons, which detect dead peers. */
