Use one timer for all requests on a history connection

Each request scheduled a timer of 600 ms that was never cancelled, so a turn at three history daemons added six timers to the event loop's queue, and all of them fired without effect. One timer is now set for the earliest time limit of the pending requests. A new test covers requests with different limits.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -31,12 +31,16 @@
     private var isConnecting = false
     private var retryAt = Duration.ZERO
     private var nextNumber = 0L
-    private class Pending(val sentAt: Duration, val onReply: (HistoryReply?) -> Unit)
+
+    private class Pending(val sentAt: Duration, val expiresAt: Duration, val onReply: (HistoryReply?) -> Unit)
 
     private val pending = LinkedHashMap<Long, Pending>()
     private var hasFailed = false
     private var lastNumber = 0
 
+    /** Time of the earliest timer; null while there is none. Most requests are answered long before it. */
+    private var timerAt: Duration? = null
+
     /**
      * Number of the TCP connection that is open; null while there is none. Each one leads to one process only: after a
      * restart of the daemon it is another one.
@@ -55,8 +59,9 @@
     /** Sends [request] for the group of [stamp]; [onReply] gets null when no reply arrives within [timeout]. */
     fun send(stamp: GroupStamp, request: HistoryRequest, timeout: Duration, onReply: (HistoryReply?) -> Unit) {
         val number = nextNumber++
-        pending[number] = Pending(clock.now(), onReply)
-        group.next().schedule({ timedOut(number) }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        val now = clock.now()
+        pending[number] = Pending(now, now + timeout, onReply)
+        expireAt(now + timeout)
         val open = channel
         val frame = RequestFrame(number, stamp.epoch, request, stamp.joinedAt)
         if (open != null) {
@@ -78,10 +83,26 @@
         pending.remove(number)?.onReply?.invoke(reply)
     }
 
-    private fun timedOut(number: Long) {
-        val request = pending.remove(number) ?: return
-        hasFailed = true
-        request.onReply(null)
+    private fun expireAt(time: Duration) {
+        val earliest = timerAt
+        if (earliest != null && earliest <= time) return
+        timerAt = time
+        val delay = (time - clock.now()).inWholeMicroseconds.coerceAtLeast(0)
+        group.next().schedule({ expire(time) }, delay, TimeUnit.MICROSECONDS)
+    }
+
+    /** Gives up the requests whose time is over; one timer serves all requests that are pending. */
+    private fun expire(timer: Duration) {
+        // An earlier timer has replaced this one.
+        if (timer != timerAt) return
+        timerAt = null
+        // The clock may be behind that of the timer by less than its resolution.
+        val now = maxOf(clock.now(), timer)
+        val expired = pending.filterValues { it.expiresAt <= now }
+        pending.keys.removeAll(expired.keys)
+        pending.values.minOfOrNull { it.expiresAt }?.let(::expireAt)
+        if (expired.isNotEmpty()) hasFailed = true
+        expired.values.forEach { it.onReply(null) }
     }
 
     private fun connect() {
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryConnectionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryConnectionTest.kt
@@ -116,6 +116,18 @@
         assertEquals(7, request().total())
     }
 
+    /** Guards against a timer that is set for one request and misses those that end earlier or begin later. */
+    @Test
+    fun `each request ends at its own time limit`() {
+        serve { frame, _ -> if (frame.number == LAST) reply(number = 0, total = 5) }
+        val long = request()
+        val short = List(2) { request(timeout = SHORT) }
+        short.forEach { assertNull(it.await()) }
+        assertNull(request(timeout = SHORT).await())
+        assertNull(request(timeout = SHORT).await())
+        assertEquals(5, long.total())
+    }
+
     @Test
     fun `an unreadable reply ends all requests that wait and the connection`() {
         serve { frame, number ->
@@ -179,5 +191,8 @@
         /** Longer than the test waits, so a request that ends by it fails the test. */
         val LONG = 60.seconds
         val SHORT = 100.milliseconds
+
+        /** Number of the last of five requests. */
+        const val LAST = 4L
     }
 }
