--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/peer/PeerTable.kt
@@ -12,6 +12,7 @@
     private val clock: MonotonicClock,
 ) {
     private val peers = HashMap<String, Peer>()
+    private var historyDaemons: List<Peer> = emptyList()
 
     /** The registered daemons except this one by [Member.shortId]. */
     var byShortId: Map<Int, Peer> = emptyMap()
@@ -36,6 +37,7 @@
             }
         }
         byShortId = peers.values.associateBy { it.member.shortId }
+        historyDaemons = peers.values.filter { !it.member.isEntry }
     }
 
     /**
@@ -75,8 +77,8 @@
     fun batchTime(shortest: Duration): Duration =
         if (peers.size < RelaySelection.MAX_MESH_SIZE) Duration.ZERO else shortest * (1 + Random.nextDouble())
 
-    /** Registered history daemons. */
-    fun historyDaemons(): List<Peer> = peers.values.filter { !it.member.isEntry }
+    /** Registered history daemons; another list whenever the registrations change. */
+    fun historyDaemons(): List<Peer> = historyDaemons
 
     /** Daemons that have sent no heartbeat for so long that their registrations can be removed. */
     val expired: List<Member>
