--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerServer.kt
@@ -11,7 +11,6 @@
 import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.net.InetSocketAddress
 
@@ -96,7 +95,7 @@
         channel.pipeline().addLast(
             OutboundBytes(channel, resources.unread, log),
             RequestDecoder(current.maxHeaderBytes, connection.footprint),
-            HttpResponseEncoder(),
+            ResponseEncoder(),
             connection,
         )
     }
