Let slow readers take nothing from others

Cause: requests that waited for an endpoint that didn't read filled the request budget, and whatever request of others was the largest single one got 503 for as long as that lasted. Callers that pipelined requests had calls run whose answers they didn't read, one caller that read a large answer could be cut off for many that left smaller ones unread, and events were split byte by byte on the event loop. The timer for idle connections replaced the one of a request that was still being read, which then never timed out.

Change: requests count by service while they wait and by endpoint once sent; the largest of the group that holds the most is ended, with 503 if its call was not sent. Unread answers weigh more the longer they have waited. A pipelined request starts when the answer before it has been passed to the kernel. Events are split line by line. The timer of a request that is being read is kept.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/EventStreamReader.kt
@@ -40,12 +40,14 @@
     /** Consumes [data] and passes each completed event to [onEvent]; events without id and data are dropped. */
     fun read(data: ByteBuf, onEvent: (StreamEvent) -> Unit) {
         while (data.isReadable && !isInvalid) {
-            val byte = data.readByte().toInt()
-            pending.write(byte)
+            val textLength = data.bytesBefore(LINE_FEED)
+            val length = if (textLength < 0) data.readableBytes() else textLength
+            if (data.forEachByte(data.readerIndex(), length) { it == CARRIAGE_RETURN } >= 0) isLineEmpty = false
+            data.readBytes(pending, if (textLength < 0) length else length + 1)
             when {
-                byte == LINE_FEED && isLineEmpty -> emit(onEvent)
-                byte == LINE_FEED -> isLineEmpty = true
-                byte != CARRIAGE_RETURN -> isLineEmpty = false
+                textLength < 0 -> Unit
+                isLineEmpty -> emit(onEvent)
+                else -> isLineEmpty = true
             }
         }
     }
@@ -74,8 +76,8 @@
     private fun String.field(name: String) = removePrefix(name).removePrefix(" ")
 
     private companion object {
-        const val LINE_FEED = '\n'.code
-        const val CARRIAGE_RETURN = '\r'.code
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val DATA = "data:"
         const val ID = "id:"
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -60,6 +60,8 @@
     /** Memory of the earlier turns that are sent before the request's own body. */
     private val bodyMemory = services.memory.holder { end("memory") }
 
+    private val endForMemory = { end("request-memory") }
+
     /** Starts the call; invoked once. */
     fun start() {
         exchange.onDisconnect = {
@@ -130,6 +132,7 @@
             giveUp("stopping", Duration.ZERO)
             return
         }
+        exchange.holdFor(call.service.name, endForMemory)
         val isTurn = route.kind == RouteKind.STREAM
         val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
@@ -159,6 +162,7 @@
         progress = services.observer.begin(state, work, isWhole)
         if (sends == 0) services.metrics.placed(route.kind, clock.now() - call.arrivedAt)
         sends++
+        exchange.holdFor(state.endpoint.id, endForMemory)
         usage.start()
         tried.add(state.endpoint.id)
         val outcome = AttemptOutcome(state)
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -108,7 +108,7 @@
         isUsable = state.directory::isUsable,
     )
     private val quorum = HistoryClients(node) { membership }.quorum
-    private val memory = MemoryBudget(MAX_RESPONSE_BYTES)
+    private val memory = MemoryBudget(MAX_RESPONSE_BYTES, node.clock)
     private val services = CallServices(
         clock = node.clock,
         wallMillis = node.wallMillis,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryDaemon.kt
@@ -58,7 +58,8 @@
     /** Loads the log and opens the sockets. Called outside the event loop; all other functions run on it. */
     fun open() {
         history.start(node.settings.isFirstStart)
-        val resources = node.resources.listener(ProcessResources.HISTORY_SHARE, MemoryBudget(MAX_UNREAD_BYTES))
+        val unread = MemoryBudget(MAX_UNREAD_BYTES, node.clock)
+        val resources = node.resources.listener(ProcessResources.HISTORY_SHARE, unread)
         HistoryServer(node.group, history, node.log, resources).open(node.settings.peerAddress)
         membership.open()
         val metrics = CallMetrics()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerConnection.kt
@@ -61,6 +61,10 @@
     private val waiting = ArrayDeque<WaitingRequest>()
     private var current: Exchange? = null
     private val timer = ConnectionTimer(channel)
+    private val unreadTimer = ConnectionTimer(channel)
+
+    // A caller that leaves an answer unread gets no further calls run meanwhile.
+    private var isWriting = false
 
     init {
         channel.closeFuture().addListener { place?.leave() }
@@ -126,18 +130,21 @@
         head = null
         body = null
         waiting.addLast(WaitingRequest(request, fullBody, footprint.complete()))
-        place?.beginRequest()
         if (waiting.size > MAX_PIPELINED) channel.config().isAutoRead = false
         startNext()
     }
 
     private fun startNext() {
-        if (current != null || !channel.isActive) return
+        val isAnswering = current != null || isWriting
+        if (isAnswering || isRejecting || !channel.isActive) return
         val next = waiting.removeFirstOrNull()
         if (next == null) {
             place?.endRequests()
-            return closeWhenIdle()
+            // The timer is in use for the request that is being read.
+            if (head == null) closeWhenIdle()
+            return
         }
+        place?.beginRequest()
         channel.config().isAutoRead = true
         val exchange = Exchange(next)
         current = exchange
@@ -175,6 +182,7 @@
         } else {
             isRejecting = true
             resources.rejections.record(reason, channel.remoteAddress())
+            if (reason == RejectionReason.REQUEST_MEMORY) current?.let { it.onMemoryExceeded() }
         }
         // The response fits into the socket's buffer unless the caller has left earlier ones unread.
         channel.close()
@@ -184,6 +192,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer.cancel()
+        unreadTimer.cancel()
         body?.release()
         body = null
         head = null
@@ -210,6 +219,16 @@
         override val isOpen: Boolean get() = !isEnded && channel.isActive
         override var onDisconnect: () -> Unit = {}
 
+        /** See [holdFor]. */
+        var onMemoryExceeded: () -> Unit = {}
+            private set
+
+        override fun holdFor(group: String, onExceeded: () -> Unit) {
+            if (!isOpen) return
+            onMemoryExceeded = onExceeded
+            footprint.joinGroup(group)
+        }
+
         override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
             if (!isOpen || isStarted) {
                 body.release()
@@ -264,7 +283,7 @@
         }
 
         private fun setConnection(headers: HttpHeaders) {
-            willClose = !isKeepAlive || isClosing()
+            willClose = !isKeepAlive || isClosing() || isRejecting
             if (willClose) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
 
@@ -279,11 +298,18 @@
         private fun end(last: HttpObject) {
             // A failed write closes the connection at once, which would end the exchange once more.
             finish()
-            channel.writeAndFlush(last).closeOnFailure(log)
-            if (willClose && waiting.isEmpty()) {
-                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
-            } else {
-                startNext()
+            isWriting = true
+            val write = channel.writeAndFlush(last)
+            write.closeOnFailure(log)
+            if (!write.isDone) {
+                // The connection may be closed in favour of others as if it were idle.
+                place?.endRequests()
+                unreadTimer.arm(limits.idleTimeout) { channel.close() }
+            }
+            write.addListener {
+                isWriting = false
+                unreadTimer.cancel()
+                if (willClose && waiting.isEmpty()) channel.close() else startNext()
             }
         }
     }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerExchange.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/CallerExchange.kt
@@ -23,6 +23,12 @@
     /** Called once if the connection is lost before the answer is complete. */
     var onDisconnect: () -> Unit
 
+    /**
+     * Counts the memory of the request together with that of the others for [group], a service or an endpoint.
+     * [onExceeded] is called when the request has to be ended as these hold the most; the connection is then closed.
+     */
+    fun holdFor(group: String, onExceeded: () -> Unit) = Unit
+
     /** Sends a complete answer and takes over the reference to [body]. */
     fun answer(status: Int, headers: HttpHeaders, body: ByteBuf)
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ListenerResources.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/ListenerResources.kt
@@ -31,7 +31,7 @@
     private val descriptors: Int,
     heapBytes: Long,
     log: EventLog,
-    clock: MonotonicClock,
+    private val clock: MonotonicClock,
 ) {
     /** Record of the callers that all listeners reject. */
     val rejections = RejectionLog(log, clock)
@@ -40,7 +40,7 @@
     val requests = MemoryBudget((heapBytes / REQUEST_HEAP_PART).coerceAtLeast(MIN_REQUEST_BYTES))
 
     /** Resources of a listener for [share] of the descriptors, whose unread answers count in [unread]. */
-    fun listener(share: Double, unread: MemoryBudget = MemoryBudget(UNREAD_BYTES)) = ListenerResources(
+    fun listener(share: Double, unread: MemoryBudget = MemoryBudget(UNREAD_BYTES, clock)) = ListenerResources(
         rejections = rejections,
         connections = ConnectionLimit((descriptors * share).toInt().coerceAtLeast(MIN_CONNECTIONS)),
         requests = requests,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/OutboundBytes.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/OutboundBytes.kt
@@ -7,11 +7,14 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter
 import io.netty.channel.ChannelPromise
 
-/** Counts the bytes that wait for a caller to read them against [budget]; a caller that holds the most is cut off. */
+/**
+ * Counts the bytes that wait for a caller to read them against [budget]. A caller that holds the most is cut off, by
+ * bytes and by the time for which some have waited: one that reads must not be cut off for many that don't.
+ */
 internal class OutboundBytes(channel: Channel, budget: MemoryBudget, log: EventLog) : ChannelOutboundHandlerAdapter() {
     private var isEnded = false
     private var waiting = 0L
-    private val holder = budget.holder {
+    private val holder = budget.holder(isAging = true) {
         isEnded = true
         log.event("caller-too-slow", "caller" to channel.remoteAddress(), "bytes" to waiting)
         channel.close()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/RequestFootprint.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/http/RequestFootprint.kt
@@ -5,7 +5,8 @@
  * are being read weigh more than whole ones when [budget] is exceeded.
  */
 internal class RequestFootprint(budget: MemoryBudget, onExceeded: () -> Unit) {
-    private val holder = budget.holder(onExceeded)
+    private val holder = budget.holder(onExceeded = onExceeded)
+    private var wholeGroup: String? = null
     private var head = 0L
     private var body = 0L
     private var whole = 0L
@@ -32,6 +33,12 @@
         return cost
     }
 
+    /** Counts whole requests together with the others of [group]. */
+    fun joinGroup(group: String) {
+        wholeGroup = group
+        update()
+    }
+
     /** Records that a whole request that costs [bytes] is no longer held. */
     fun release(bytes: Long) {
         whole -= bytes
@@ -46,7 +53,12 @@
         update()
     }
 
-    private fun update() = holder.hold(head + body + whole, if (head + body > 0) READING_WEIGHT else 1)
+    private fun update() {
+        if (whole == 0L) wholeGroup = null
+        val isReading = head + body > 0
+        holder.group = if (isReading) READING_GROUP else wholeGroup
+        holder.hold(head + body + whole, if (isReading) READING_WEIGHT else 1)
+    }
 
     private companion object {
         /** Objects of a header line: entry, name and value. Measured: 127 bytes; the copy for an endpoint has some. */
@@ -61,6 +73,9 @@
         /** Objects of a request and its call. */
         const val REQUEST_BYTES = 2048L
 
+        /** All requests that are being read; what they are for is not known yet. */
+        const val READING_GROUP = ""
+
         /** A request that is still read gives less than one that is being answered. */
         const val READING_WEIGHT = 4
     }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerConnectionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerConnectionTest.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -102,6 +103,18 @@
         assertEquals("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n", channel.sent())
     }
 
+    /** Guards against an incomplete request that is never given up, as the answer before it took over its timer. */
+    @Test
+    fun `a request that stays incomplete behind an answered one is refused in time`() {
+        val start = "GET /p/ HTTP/1.1\r\nHost: h\r\n"
+        val channel = connection("$start\r\n${start}Content-Length: 3\r\n\r\n1")
+        exchange.answer(OK, headers(), bytes("one"))
+        channel.advanceTimeBy(limits.headerTimeout.inWholeSeconds + 1, TimeUnit.SECONDS)
+        channel.runScheduledPendingTasks()
+        assertTrue("HTTP/1.1 408" in channel.sent())
+        assertFalse(channel.isActive)
+    }
+
     private fun connection(request: String = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n"): EmbeddedChannel {
         val channel = EmbeddedChannel(HttpRequestDecoder(), HttpResponseEncoder())
         val connection = CallerConnection(channel, limits, isClosing = { false }, noOpLog) { _, opened ->
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerServerTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/CallerServerTest.kt
@@ -20,10 +20,12 @@
 class CallerServerTest {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
+    private var handled = 0
     private val answered = CompletableFuture<Unit>()
     private val server = CallerServer(group, { LIMITS }, { false }, noOpLog) { _, exchange ->
         val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
         exchange.answer(OK, headers, Unpooled.buffer(LARGE_BYTES).writeZero(LARGE_BYTES))
+        handled++
         answered.complete(Unit)
     }
 
@@ -52,7 +54,27 @@
         }
     }
 
+    /** Guards against callers that have one call after another run and their answers buffered without reading any. */
+    @Test
+    fun `a pipelined request is handled only when the answers before it have been read`() {
+        server.open(InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+        Socket().use { socket ->
+            socket.receiveBufferSize = RECEIVE_BUFFER_BYTES
+            socket.soTimeout = TimeUnit.SECONDS.toMillis(WAIT_SECONDS).toInt()
+            socket.connect(server.address)
+            socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\n\r\n".repeat(PIPELINED).toByteArray())
+            answered.get(WAIT_SECONDS, TimeUnit.SECONDS)
+            // What follows in the same read is handled before the next task.
+            assertEquals(1, loop.submit<Int> { handled }.get())
+            val buffer = ByteArray(BUFFER_BYTES)
+            val sizes = generateSequence { socket.getInputStream().read(buffer) }.takeWhile { it >= 0 }
+            assertTrue(sizes.runningReduce(Int::plus).any { it >= PIPELINED * LARGE_BYTES }, "an answer is missing")
+            assertEquals(PIPELINED, loop.submit<Int> { handled }.get())
+        }
+    }
+
     private companion object {
+        const val PIPELINED = 3
         const val OK = 200
         const val LARGE_BYTES = 16 * 1024 * 1024
         const val RECEIVE_BUFFER_BYTES = 4096
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/MemoryBudgetTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/MemoryBudgetTest.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.http
 
+import io.jasmineford.core.time.VirtualClock
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.noOpLog
 import io.netty.buffer.Unpooled
@@ -16,6 +17,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Guards against a daemon that runs out of memory because of responses that it holds for others. */
@@ -53,6 +55,26 @@
         assertEquals(21, budget.heldBytes)
     }
 
+    @Test
+    fun `a caller that reads is kept beside many that have left smaller answers unread for longer`() {
+        val clock = VirtualClock()
+        val budget = MemoryBudget(limitBytes = 1000, clock)
+        val ended = ArrayList<String>()
+        repeat(4) { budget.holder(isAging = true) { ended.add("slow") }.hold(200) }
+        clock.advance(500.milliseconds)
+        budget.holder(isAging = true) { ended.add("reader") }.hold(400)
+        assertEquals(listOf("slow"), ended)
+    }
+
+    @Test
+    fun `small requests of a group that holds the most are ended before a larger one of another`() {
+        val budget = MemoryBudget(limitBytes = 1000)
+        val ended = ArrayList<String>()
+        repeat(6) { budget.holder { ended.add("group") }.apply { group = "endpoint" }.hold(150) }
+        budget.holder { ended.add("other") }.hold(300)
+        assertEquals(listOf("group", "group"), ended)
+    }
+
     @Test
     fun `random use keeps the sum of the holders and the limit`() {
         val random = Random(SEED)
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/RequestMemoryTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/http/RequestMemoryTest.kt
@@ -2,8 +2,11 @@
 
 import io.jasmineford.gateway.config.CallLimits
 import io.jasmineford.gateway.noOpLog
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.buffer.Unpooled.EMPTY_BUFFER
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpResponseEncoder
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -78,7 +81,32 @@
         assertTrue(budget.heldBytes <= LIMIT_BYTES)
     }
 
+    /** Guards against an endpoint that reads slowly and thereby shuts out the callers of others. */
+    @Test
+    fun `requests for an endpoint that does not read give way to larger ones for others and are answered`() {
+        val start = "${START}Content-Length: "
+        val deaf = List(DEAF_REQUESTS) {
+            connect().send("${start}600000\r\n\r\n" + "x".repeat(600_000)).also {
+                val exchange = exchanges.last()
+                exchange.holdFor("deaf") {
+                    exchange.answer(UNAVAILABLE, DefaultHttpHeadersFactory.headersFactory().newHeaders(), EMPTY_BUFFER)
+                }
+            }
+        }
+        val other = connect().send("${start}900000\r\n\r\n" + "x".repeat(900_000))
+        assertTrue(other.isOpen)
+        assertEquals(DEAF_REQUESTS + 1, exchanges.size)
+        val ended = deaf.filter { !it.isOpen }
+        assertTrue(ended.isNotEmpty())
+        ended.forEach { assertTrue("503" in it.readOutbound<ByteBuf>().toString(Charsets.ISO_8859_1)) }
+        (deaf + other).forEach { it.close() }
+    }
+
     private companion object {
+        const val UNAVAILABLE = 503
+
+        /** They fit as long as there is nothing else. */
+        const val DEAF_REQUESTS = 13
         const val LIMIT_BYTES = 8L * 1024 * 1024
         const val HEAD_BYTES = 16_384
         const val MAX_BODY_BYTES = 4_194_304
