Send endpoints no more than their memory holds where calls are counted

Cause: only placement by work looked at Engine.KvCapacity. Where calls are placed by calls in flight, an endpoint got calls for all its slots whatever they needed, and an endpoint whose requests exceed its memory crashes.

Change: an endpoint is left out where the call doesn't fit beside those in flight, also when calls are counted. Heartbeats carry the memory of the calls in flight as soon as a daemon has had calls to a service with KvCapacity, and relays pass it on.

Measured: EndpointChooserTest, two endpoints for 10,000 tokens and 100 slots each get 6 calls of 3,032 tokens; WorkReportsTest, 8 and 40 daemons know each other's memory once.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkPlacement.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkPlacement.kt
@@ -40,6 +40,20 @@
     /** Whether calls to [service] are placed by work. */
     fun isOn(service: String): Boolean = switch.isOn(service)
 
+    /** Whether any service that got calls states the memory of its endpoints. */
+    var isMemoryBounded = false
+        private set
+
+    /**
+     * Whether the endpoint of [state] has memory for [work]. An endpoint may crash when its calls exceed its memory, so
+     * this holds for services that are placed by counting calls, too.
+     */
+    fun fits(state: EndpointState, work: CallWork): Boolean {
+        if (work.service.memoryTokens <= 0) return true
+        isMemoryBounded = true
+        return estimator.estimate(state, work).fits
+    }
+
     /** What is left of a call of which nothing is known, in milliseconds on the reference endpoint. */
     internal fun unknownMillis(service: String): Double = estimator.typicalMillis(service) * MEAN_REST
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkReports.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkReports.kt
@@ -10,6 +10,8 @@
  * that report no work are assumed to have typical work.
  */
 internal class WorkReports(private val directory: EndpointDirectory, private val placement: WorkPlacement) {
+    private val isUsed: Boolean get() = placement.isOnAnywhere || placement.isMemoryBounded
+
     private class Sum(var millis: Double = 0.0, var blocks: Long = 0) {
         fun add(millis: Double, blocks: Long) {
             this.millis += millis
@@ -19,7 +21,8 @@
 
     /** Adds to [own], whose calls in flight include those in [forwarded], their work; nothing while it is not used. */
     fun addTo(own: Heartbeat, forwarded: List<Heartbeat>): Heartbeat {
-        if (!placement.isOnAnywhere) return own
+        // Passes on what others tell although this daemon has no such calls itself.
+        if (!isUsed && forwarded.none { it.workBlocks.isNotEmpty() }) return own
         val sums = own.inFlight.mapValues { (id, _) -> sumOfOwn(id) }
         forwarded.forEach { heartbeat ->
             forEachEndpoint(heartbeat) { id, millis, blocks -> sums[id]?.add(millis, blocks) }
@@ -32,7 +35,7 @@
 
     /** Sums what [neighbours] report for each endpoint. */
     fun apply(neighbours: List<Heartbeat>) {
-        if (!placement.isOnAnywhere) return
+        if (!isUsed) return
         directory.all.forEach { it.work.setPeers(millis = 0.0, tokens = 0) }
         neighbours.forEach { heartbeat ->
             forEachEndpoint(heartbeat) { id, millis, blocks ->
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -62,7 +62,8 @@
             return byWork.choose(free, work, { fixedCost(it, request) }) { tryTakeCall(it, request.service) }
         }
         // Each score is computed once: a sort by the function would compute two for each comparison.
-        val ranked = free.map { it to score(it, request) }.sortedBy { it.second }
+        val fitting = if (byWork == null || work == null) free else free.filter { byWork.fits(it, work) }
+        val ranked = fitting.map { it to score(it, request) }.sortedBy { it.second }
         return ranked.firstOrNull { tryTakeCall(it.first, request.service) }?.first
     }
 
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/WorkReportsTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/daemon/WorkReportsTest.kt
@@ -13,7 +13,7 @@
 class WorkReportsTest {
     private val engine = Service("models", tokensPerEvent = 8, memoryTokens = 100_000)
 
-    private fun fleet(size: Int, byWork: Boolean): VirtualFleet {
+    private fun fleet(size: Int, byWork: Boolean, checksMemory: Boolean = false): VirtualFleet {
         val fleet = VirtualFleet(size, placesByWork = byWork)
         val endpoints = List(20) { endpoint("server-$it", slots = 1000) }
         fleet.daemons.forEach { daemon ->
@@ -22,6 +22,7 @@
             daemon.state.directory.all.forEach { state ->
                 val work = observer.work("chat", engine, CallHints(1280, 64, 20))
                 state.inFlight = 1
+                if (checksMemory) assertTrue(daemon.state.placement.fits(state, work))
                 observer.begin(state, work, isWhole = true).event()
             }
         }
@@ -44,6 +45,17 @@
         }
     }
 
+    /** Guards against daemons that together exceed the memory of endpoints, as each knows its own calls only. */
+    @Test
+    fun `the memory of all others is known where calls are counted but endpoints state their memory`() {
+        listOf(8, 40).forEach { size ->
+            val states = fleet(size, byWork = false, checksMemory = true).daemons
+                .map { it.state.directory.byId.getValue("server-7") }
+            val own = states.first().work
+            states.forEach { assertEquals((own.ownTokens() + 63) / 64 * 64 * (size - 1), it.work.tokensAtPeers) }
+        }
+    }
+
     @Test
     fun `the work adds a third to busy heartbeats at most, and nothing where it is not used`() {
         val (unused, used) = listOf(false, true).map { byWork ->
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/EndpointChooserTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/EndpointChooserTest.kt
@@ -2,6 +2,10 @@
 
 import io.jasmineford.core.time.VirtualClock
 import io.jasmineford.gateway.config.Service
+import io.jasmineford.gateway.cost.CallHints
+import io.jasmineford.gateway.cost.CallObserver
+import io.jasmineford.gateway.cost.WorkPlacement
+import io.jasmineford.gateway.cost.WorkPlacementSettings
 import io.jasmineford.gateway.endpoint
 import io.jasmineford.gateway.peer.Member
 import io.jasmineford.gateway.peer.RelaySelection
@@ -45,6 +49,24 @@
         assertNull(choose())
     }
 
+    /** Guards against an endpoint that crashes because the calls in flight take more than its memory. */
+    @Test
+    fun `an endpoint gets no more than its memory holds although calls are only counted`() {
+        val byWork = WorkPlacement(clock, directory, WorkPlacementSettings())
+        val observer = CallObserver(clock, byWork)
+        val counting = EndpointChooser(directory, "a", clock, byWork) { RatePart(share = 1.0, rank = 0) }
+        val engine = Service("models", tokensPerEvent = 8, memoryTokens = 10_000)
+        directory.replace(listOf(endpoint("e1", slots = 100), endpoint("e2", slots = 100)))
+        val work = observer.work("chat", engine, CallHints(promptTokens = 3000, maxTokens = 64, expectedTokens = 32))
+        val request = PlacementRequest(engine, affinity = null, work = work)
+        val running = generateSequence { counting.choose(request) }.take(100)
+            .map { observer.begin(it, work, isWhole = true) }.toList()
+        // Three calls of 3,032 tokens fit into each endpoint.
+        assertEquals(6, running.size)
+        running.first().ended()
+        assertNotNull(counting.choose(request))
+    }
+
     @Test
     fun `an endpoint that was tried before is chosen only when there is no other`() {
         directory.replace(listOf(endpoint("e1"), endpoint("e2", zone = "b")))
