Explain where a request would be placed

Cause: operators could see a few decisions in the log, and none for services whose calls are placed by calls in flight.

Change: `./jasmineford placement explain` asks an entry daemon's metrics address (/placement/explain) for the outcome of a request, and for each endpoint why it may not be used, its work, memory and score. The explanation uses the chooser's own rules; rate permits are looked at on a copy, and the decisions whether a service is placed by work are only read.

--- a/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
+++ b/jasmineford-cli/src/main/kotlin/io/jasmineford/cli/RootCommand.kt
@@ -14,6 +14,8 @@
 import io.jasmineford.cli.operator.VmDirectionCommand
 import io.jasmineford.cli.operator.ZoneCommand
 import io.jasmineford.cli.operator.ZoneDirectionCommand
+import io.jasmineford.cli.placement.PlacementCommand
+import io.jasmineford.cli.placement.PlacementExplainCommand
 import io.jasmineford.cli.quickstart.QuickstartCommand
 import io.jasmineford.cli.report.ExplainCommand
 import io.jasmineford.cli.report.ExplainFailuresCommand
@@ -33,6 +35,7 @@
     ZoneCommand().subcommands(Direction.entries.map { ZoneDirectionCommand(it) }),
     VmCommand().subcommands(Direction.entries.map { VmDirectionCommand(it) }),
     StatusCommand(),
+    PlacementCommand().subcommands(PlacementExplainCommand()),
     SettingsCommand().subcommands(SettingsCheckCommand()),
     CompletionCommand(name = "completion", help = "Print a completion script for bash, zsh or fish."),
 )
--- a/jasmineford-cli/src/test/kotlin/io/jasmineford/cli/CommandLineTest.kt
+++ b/jasmineford-cli/src/test/kotlin/io/jasmineford/cli/CommandLineTest.kt
@@ -13,7 +13,8 @@
 class CommandLineTest {
     @Test
     fun `every command has a help text`() {
-        for (command in listOf("release publish", "zone out", "vm in", "status", "settings check", "entry", "quickstart")) {
+        val commands = listOf("release publish", "zone out", "vm in", "status", "settings check", "entry", "quickstart")
+        for (command in commands + "placement explain") {
             val result = rootCommand().test("$command --help")
             assertEquals(0, result.statusCode, "expected exit code 0 of '$command --help', actual ${result.output}")
             assertContains(result.stdout, "Usage: jasmineford $command")
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -21,6 +21,15 @@
     val onRefused: (retryAfter: Duration) -> Unit,
 )
 
+/**
+ * State of a service's queue.
+ *
+ * @property waiting number of waiting calls.
+ * @property wait expected wait behind them.
+ * @property isInTime whether a call would be queued rather than refused.
+ */
+data class QueueOutlook(val waiting: Int, val wait: Duration, val isInTime: Boolean)
+
 /**
  * Queues calls by service and assigns them to endpoints as these have free capacity.
  *
@@ -60,6 +69,14 @@
         }
     }
 
+    /** What [submit] would find for a call of [service] that has [timeLeft]; changes nothing. */
+    fun outlook(service: Service, timeLeft: Duration): QueueOutlook {
+        val waiting = queues[service.name]?.size ?: 0
+        val stats = completions[service.name] ?: CompletionStats()
+        val wait = stats.wait(clock.now(), waiting)
+        return QueueOutlook(waiting, wait, isInTime = waiting == 0 || wait <= timeLeft - stats.serviceTime)
+    }
+
     /** Removes [call] from its queue; false when it is no longer queued. */
     fun cancel(call: WaitingCall): Boolean = queues[call.placement.service.name]?.remove(call) ?: false
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.call
 
+import io.jasmineford.gateway.config.Route
 import io.jasmineford.gateway.config.RouteKind
 import io.jasmineford.gateway.cost.CallObserver
 import io.jasmineford.gateway.endpoint.Endpoint
@@ -133,13 +134,11 @@
             return
         }
         exchange.holdFor(call.service.name, endForMemory)
-        val isTurn = route.kind == RouteKind.STREAM
-        val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
         val next = WaitingCall(
             scheduling = call.scheduling,
             placement = PlacementRequest(
                 service = call.service,
-                affinity = affinity,
+                affinity = route.affinityOf(call.attributes),
                 tried = tried,
                 version = streamVersion,
                 work = work,
@@ -401,3 +400,7 @@
         val UNKNOWN_RETRY_AFTER = 200.milliseconds
     }
 }
+
+/** Key of calls on the route that benefit from the same endpoint; null if there is none. */
+internal fun Route.affinityOf(attributes: CallAttributes): String? =
+    if (kind == RouteKind.STREAM) attributes.program ?: attributes.attemptId else null
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkPlacement.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkPlacement.kt
@@ -40,6 +40,16 @@
     /** Whether calls to [service] are placed by work. */
     fun isOn(service: String): Boolean = switch.isOn(service)
 
+    /** Whether [isOn] said so the last time; decides nothing. */
+    internal fun isOnNow(service: String): Boolean = switch.isOnNow(service)
+
+    /** Estimate of [work] at the endpoint of [state]. */
+    internal fun estimate(state: EndpointState, work: CallWork): PlacementEstimate = estimator.estimate(state, work)
+
+    /** Expected completion of [estimate] in units of the typical call of [service]. */
+    internal fun relativeCompletion(estimate: PlacementEstimate, service: String): Double =
+        estimate.completionMillis / estimator.typicalMillis(service)
+
     /** Whether any service that got calls states the memory of its endpoints. */
     var isMemoryBounded = false
         private set
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkPlacementSwitch.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/cost/WorkPlacementSwitch.kt
@@ -32,6 +32,9 @@
     /** Whether calls to [service] are placed by work. */
     fun isOn(service: String): Boolean = isAlwaysOn || decide(service).isOn
 
+    /** Whether [service] was placed by work at the last decision; makes none. */
+    fun isOnNow(service: String): Boolean = isAlwaysOn || decisions[service]?.isOn == true
+
     private fun decide(service: String): Decision {
         val before = decisions[service]
         val now = clock.now()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/CallerRequestHandler.kt
@@ -100,21 +100,6 @@
         }
     }
 
-    /**
-     * Chooses one of the route's services in proportion to their weights, by a hash of the program or, without one, of
-     * the attempt. All calls of a program thus go to the same service. Null when no service has a weight or exists.
-     */
-    private fun serviceOf(route: Route, attributes: CallAttributes, config: GatewayConfig): Service? {
-        val total = route.services.sumOf { it.weight }
-        if (total <= 0) return null
-        var point = Math.floorMod((attributes.program ?: attributes.attemptId).hashCode(), total)
-        val chosen = route.services.first { share ->
-            point -= share.weight
-            point < 0
-        }
-        return config.services[chosen.service]
-    }
-
     private fun fingerprint(request: CallerRequest, account: ClientAccount?): String {
         val sum = CRC32()
         sum.update(request.body.nioBuffer())
@@ -154,3 +139,18 @@
             if (bounds.isRevocationStrict) bounds.revocationDelay * KEYED_CONTACT_FRACTION else Duration.INFINITE
     }
 }
+
+/**
+ * Chooses one of the route's services in proportion to their weights, by a hash of the program or, without one, of the
+ * attempt. All calls of a program thus go to the same service. Null when no service has a weight or exists.
+ */
+internal fun serviceOf(route: Route, attributes: CallAttributes, config: GatewayConfig): Service? {
+    val total = route.services.sumOf { it.weight }
+    if (total <= 0) return null
+    var point = Math.floorMod((attributes.program ?: attributes.attemptId).hashCode(), total)
+    val chosen = route.services.first { share ->
+        point -= share.weight
+        point < 0
+    }
+    return config.services[chosen.service]
+}
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -14,6 +14,7 @@
 import io.jasmineford.gateway.cost.WorkPlacementSettings
 import io.jasmineford.gateway.endpoint.Endpoint
 import io.jasmineford.gateway.endpoint.EndpointChooser
+import io.jasmineford.gateway.endpoint.PlacementExplainer
 import io.jasmineford.gateway.endpoint.RouteLatencyBaseline
 import io.jasmineford.gateway.http.CallerServer
 import io.jasmineford.gateway.http.MemoryBudget
@@ -81,15 +82,16 @@
         metrics = metrics,
         sources = RolloutSources(state.directory, { view.contact }, { membership }, { exchange }),
     )
+    private val chooser = EndpointChooser(
+        directory = state.directory,
+        zone = node.settings.zone,
+        clock = node.clock,
+        byWork = state.placement,
+        versions = rollouts.gate,
+        partOf = state::ratePart,
+    )
     private val dispatcher = Dispatcher(
-        chooser = EndpointChooser(
-            directory = state.directory,
-            zone = node.settings.zone,
-            clock = node.clock,
-            byWork = state.placement,
-            versions = rollouts.gate,
-            partOf = state::ratePart,
-        ),
+        chooser = chooser,
         clock = node.clock,
         onArrival = state.serviceDemand::recordCall,
         isPressed = { pressureGate.isOverloaded },
@@ -128,6 +130,12 @@
         observer = CallObserver(node.clock, state.placement, metrics::workEstimated),
         versionGate = rollouts.gate,
     )
+    private val placementPage = PlacementPage(
+        services = services,
+        config = { view.config },
+        explainer = PlacementExplainer(chooser),
+        isOverloaded = { pressureGate.isOverloaded },
+    )
     private val openCalls = OpenCalls(services)
     private val server: CallerServer = CallerServer(
         group = node.group,
@@ -189,8 +197,13 @@
         metrics.gauge("jasmineford_config_version", "Version in force") { view.config?.version?.toDouble() ?: -1.0 }
         rollouts.registerMetrics()
         metrics.observe(node.resources)
-        MetricsServer(node.group, node.log, metrics, node.resources.listener(ProcessResources.METRICS_SHARE))
-            .open(node.settings.metricsAddress)
+        MetricsServer(
+            group = node.group,
+            log = node.log,
+            metrics = metrics,
+            resources = node.resources.listener(ProcessResources.METRICS_SHARE),
+            pages = mapOf(PlacementPage.PATH to placementPage::explain),
+        ).open(node.settings.metricsAddress)
     }
 
     private fun recordUnmatched(response: UnmatchedResponse) {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -1,8 +1,10 @@
 package io.jasmineford.gateway.endpoint
 
+import io.jasmineford.core.placement.PlacementCosts
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.config.Service
 import io.jasmineford.gateway.cost.CallWork
+import io.jasmineford.gateway.cost.PlacementEstimate
 import io.jasmineford.gateway.cost.WorkPlacement
 import io.jasmineford.gateway.rollout.VersionGate
 
@@ -27,6 +29,12 @@
     val callKey: String = "",
 )
 
+/** Whether a slot is free; without one, an endpoint gets no more calls. */
+internal val EndpointState.hasFreeSlot: Boolean get() = load < FULL_LOAD
+
+/** Load at which all slots are in use. */
+private const val FULL_LOAD = 1.0
+
 /**
  * Load balancer: chooses an endpoint for a call, or none when all are at capacity.
  *
@@ -40,12 +48,12 @@
  * @param partOf the part of this daemon in the rates that all daemons share at an endpoint.
  */
 class EndpointChooser(
-    private val directory: EndpointDirectory,
+    internal val directory: EndpointDirectory,
     private val zone: String,
-    private val clock: MonotonicClock,
-    private val byWork: WorkPlacement? = null,
-    private val versions: VersionGate = VersionGate(clock),
-    private val partOf: (Endpoint) -> RatePart,
+    internal val clock: MonotonicClock,
+    internal val byWork: WorkPlacement? = null,
+    internal val versions: VersionGate = VersionGate(clock),
+    internal val partOf: (Endpoint) -> RatePart,
 ) {
     /** Returns the endpoint for [request] and counts the call against its rates; null when the call has to wait. */
     fun choose(request: PlacementRequest): EndpointState? =
@@ -53,10 +61,7 @@
             ?.also { versions.recordPlaced(request, it) }
 
     private fun chooseFrom(usable: List<EndpointState>, request: PlacementRequest): EndpointState? {
-        val now = clock.now()
-        val untried = usable.filter { it.endpoint.id !in request.tried }.ifEmpty { usable }
-        val preferred = untried.filter { it.backoffUntil <= now }.ifEmpty { untried }
-        val free = preferred.filter { hasFreeSlot(it) }
+        val free = preferred(usable, request).filter { it.hasFreeSlot }
         val work = request.work
         if (byWork != null && work != null && byWork.isOn(request.service.name)) {
             return byWork.choose(free, work, { fixedCost(it, request) }) { tryTakeCall(it, request.service) }
@@ -67,13 +72,20 @@
         return ranked.firstOrNull { tryTakeCall(it.first, request.service) }?.first
     }
 
+    /** The endpoints among [usable] of which one is chosen: untried and not backing off, if there are such. */
+    internal fun preferred(usable: List<EndpointState>, request: PlacementRequest): List<EndpointState> {
+        val now = clock.now()
+        val untried = usable.filter { it.endpoint.id !in request.tried }.ifEmpty { usable }
+        return untried.filter { it.backoffUntil <= now }.ifEmpty { untried }
+    }
+
     /** Whether an endpoint could run the call, at capacity or not, or one may soon be registered that could. */
     fun isServable(request: PlacementRequest): Boolean = when (request.version) {
         null -> !directory.isAbandoned(request.service.name)
         else -> usableFor(request).isNotEmpty()
     }
 
-    private fun usableFor(request: PlacementRequest): List<EndpointState> {
+    internal fun usableFor(request: PlacementRequest): List<EndpointState> {
         val usable = directory.usable(request.service.name)
         return when {
             request.version == null -> usable
@@ -83,18 +95,28 @@
         }
     }
 
-    private fun hasFreeSlot(state: EndpointState): Boolean = state.load < FULL_LOAD
-
     private fun score(state: EndpointState, request: PlacementRequest): Double {
         val qualityCost = (state.slowness - 1) * SLOWNESS_COST + state.failureRate * FAILURE_COST
-        return state.load * state.slowness + qualityCost + zoneCost(state) + affinityCost(state, request)
+        return state.load * state.slowness + qualityCost + state.zoneCost + affinityCost(state, request)
     }
 
     /** Costs that depend neither on the load nor on the speed of an endpoint. */
     private fun fixedCost(state: EndpointState, request: PlacementRequest): Double =
-        state.failureRate * FAILURE_COST + zoneCost(state) + affinityCost(state, request)
+        state.failureRate * FAILURE_COST + state.zoneCost + affinityCost(state, request)
+
+    /** Parts of the score of [state]: by [estimate], or by the calls in flight if there is none. */
+    internal fun costs(state: EndpointState, request: PlacementRequest, estimate: PlacementEstimate?): PlacementCosts {
+        val byCount = state.load * state.slowness
+        val slowness = if (estimate == null) (state.slowness - 1) * SLOWNESS_COST else 0.0
+        return PlacementCosts(
+            load = estimate?.let { byWork?.relativeCompletion(it, request.service.name) } ?: byCount,
+            quality = slowness + state.failureRate * FAILURE_COST,
+            zone = state.zoneCost,
+            affinity = affinityCost(state, request),
+        )
+    }
 
-    private fun zoneCost(state: EndpointState): Double = if (state.endpoint.zone == zone) 0.0 else OTHER_ZONE_COST
+    private val EndpointState.zoneCost: Double get() = if (endpoint.zone == zone) 0.0 else OTHER_ZONE_COST
 
     /** Rendezvous hashing: all daemons prefer the same endpoint for the same key without coordination. */
     private fun affinityCost(state: EndpointState, request: PlacementRequest): Double {
@@ -107,9 +129,6 @@
         state.rateLimiter.tryTake(state.rates(service)) { partOf(state.endpoint) }
 
     private companion object {
-        /** Load at which an endpoint gets no more calls, as all its slots are in use. */
-        const val FULL_LOAD = 1.0
-
         /** Load difference that a call accepts to stay in its availability zone, where traffic is free of charge. */
         const val OTHER_ZONE_COST = 0.25
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/SharedRate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/SharedRate.kt
@@ -37,6 +37,15 @@
         if (fits) permits.forEach { it.take() }
         return fits
     }
+
+    /** Whether [tryTake] would return true now; changes nothing. */
+    fun hasPermit(rates: List<EndpointRate>, part: () -> RatePart): Boolean {
+        if (rates.isEmpty()) return true
+        val own = part()
+        val copies = if (rates.size == permits.size) permits.map { it.copy() } else rates.map { RatePermits(clock) }
+        copies.forEachIndexed { index, each -> each.accrue(rates[index], own) }
+        return copies.all { it.isAvailable }
+    }
 }
 
 /**
@@ -56,6 +65,12 @@
         accruedAt.removeFirst()
     }
 
+    fun copy() = RatePermits(clock).also {
+        it.accruedAt.addAll(accruedAt)
+        it.updatedAt = updatedAt
+        it.fraction = fraction
+    }
+
     /** Adds the permits since the last call at [part] of [rate], and removes the expired ones. */
     fun accrue(rate: EndpointRate, part: RatePart) {
         val now = clock.now()
