--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/ProxyCall.kt
@@ -1,5 +1,6 @@
 package io.jasmineford.gateway.call
 
+import io.jasmineford.gateway.config.Route
 import io.jasmineford.gateway.config.RouteKind
 import io.jasmineford.gateway.cost.CallObserver
 import io.jasmineford.gateway.endpoint.Endpoint
@@ -60,6 +61,8 @@
     /** Memory of the earlier turns that are sent before the request's own body. */
     private val bodyMemory = services.memory.holder { end("memory") }
 
+    private val endForMemory = { end("request-memory") }
+
     /** Starts the call; invoked once. */
     fun start() {
         exchange.onDisconnect = {
@@ -130,13 +133,12 @@
             giveUp("stopping", Duration.ZERO)
             return
         }
-        val isTurn = route.kind == RouteKind.STREAM
-        val affinity = if (isTurn) call.attributes.program ?: call.attributes.attemptId else null
+        exchange.holdFor(call.service.name, endForMemory)
         val next = WaitingCall(
             scheduling = call.scheduling,
             placement = PlacementRequest(
                 service = call.service,
-                affinity = affinity,
+                affinity = route.affinityOf(call.attributes),
                 tried = tried,
                 version = streamVersion,
                 work = work,
@@ -159,6 +161,7 @@
         progress = services.observer.begin(state, work, isWhole)
         if (sends == 0) services.metrics.placed(route.kind, clock.now() - call.arrivedAt)
         sends++
+        exchange.holdFor(state.endpoint.id, endForMemory)
         usage.start()
         tried.add(state.endpoint.id)
         val outcome = AttemptOutcome(state)
@@ -397,3 +400,7 @@
         val UNKNOWN_RETRY_AFTER = 200.milliseconds
     }
 }
+
+/** Key of calls on the route that benefit from the same endpoint; null if there is none. */
+internal fun Route.affinityOf(attributes: CallAttributes): String? =
+    if (kind == RouteKind.STREAM) attributes.program ?: attributes.attemptId else null
