Move the calls of a rollout late and compare once more before a rollback

Once calls have moved, a burst in which both versions fail has no calls of the same period to be compared with. Change: RolloutSchedule moves calls as late as the end allows; long calls move earlier within 0.05 of a daemon's calls; the canary has 0.04 and 15 calls instead of 0.06 and 20. Calls stay moved until 40 responses are seen. What looks bad after the move, or a daemon that falls silent, sends the calls back to the old version and begins another round; the old version's responses decide then. The comparison moves to VersionComparison, the selection of calls to CanarySelection. The silence of a daemon now holds up the move; only its last report was looked at.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/AttemptUsage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/AttemptUsage.kt
@@ -18,6 +18,8 @@
     }
 
     /** Records that the attempt at the endpoint of [state] ended with [result], after [events] of a stream. */
-    fun end(state: EndpointState, result: AttemptResult, events: Int) =
-        gate.recordEnd(state, route, result, (clock.now() - startedAt) / events.coerceAtLeast(1))
+    fun end(state: EndpointState, result: AttemptResult, events: Int) {
+        val total = clock.now() - startedAt
+        gate.recordEnd(state, route, result, total / events.coerceAtLeast(1), total)
+    }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/FleetViews.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/FleetViews.kt
@@ -43,17 +43,19 @@
             newEndpoints = new,
             oldEndpoints = usable.size - new,
             isStoreReachable = fleet.contactAge() < MAX_CONTACT_AGE && !isCutOff(),
-            agreement = { phase -> agreement(phase, all) },
+            agreement = { phase -> agreement(phase, rollout.round, all) },
         )
     }
 
-    private fun agreement(phase: RolloutPhase, all: Map<Int, RolloutReport>): FleetAgreement {
+    private fun agreement(phase: RolloutPhase, round: Int, all: Map<Int, RolloutReport>): FleetAgreement {
         val peers = fleet.peers()
         val members = peers.all.filter { it.member.isEntry && peers.mayAdmitCalls(it) }
         val isIdleRequired = phase > RolloutPhase.CANARY
         val missing = members.filterNot { peer ->
             val report = all[processId(peer.member.name, peer.member.incarnation)]
-            report != null && report.phase >= phase && (!isIdleRequired || report.oldInFlight == 0)
+            val isAtPhase = report != null && report.round == round && report.phase >= phase
+            // The last report of a daemon that is silent says that it serves, not that it would learn of a change.
+            isAtPhase && (if (isIdleRequired) report.oldInFlight == 0 else peers.isAlive(peer))
         }
         val own = all.getValue(processId(fleet.self.name, fleet.self.incarnation))
         return when {
@@ -76,11 +78,12 @@
             process = processId(fleet.self.name, fleet.self.incarnation),
             service = order.service,
             opened = rollout.opened,
-            sequence = rollout.usage.sequenceOf(rollout.phase, oldInFlight),
+            sequence = rollout.usage.sequenceOf(rollout.phase, rollout.round, oldInFlight),
             phase = rollout.phase,
             oldInFlight = oldInFlight,
             tallies = rollout.usage.all,
             bad = rollout.usage.bad,
+            round = rollout.round,
         )
     }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutControl.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutControl.kt
@@ -135,7 +135,7 @@
         val view = views.of(rollout)
         if (view.isStoreReachable) rollout.confirm(now)
         val decision = coordinator.decide(view, now)
-        if (decision != null && rollout.advance(decision.phase, now)) {
+        if (decision != null && rollout.advance(decision.phase, now, decision.round)) {
             phaseChanged(rollout, PhaseCause(decision.reason, fleet.self.name, decision.evidence))
             effects.announce()
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutCoordinator.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutCoordinator.kt
@@ -2,7 +2,6 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** How many daemons apply a phase and have no calls in flight at the old version. */
 enum class FleetAgreement {
@@ -34,75 +33,104 @@
     val agreement: (RolloutPhase) -> FleetAgreement,
 )
 
-/** Step to [phase] for [reason], with the [evidence] if the new version is bad. */
-data class RolloutDecision(val phase: RolloutPhase, val reason: String, val evidence: RolloutEvidence? = null)
+/** Step to [phase] in [round] for [reason], with the [evidence] if the new version may be bad. */
+data class RolloutDecision(
+    val phase: RolloutPhase,
+    val reason: String,
+    val round: Int,
+    val evidence: RolloutEvidence? = null,
+)
 
 /**
  * Decides on the phases of one rollout. Any daemon can take over: what has been decided is in [rollout], which all
  * daemons exchange, and the counts are cumulative.
  */
 class RolloutCoordinator(private val rollout: RolloutProgress) {
-    private class Snapshot(val at: Duration, val tallies: List<RouteTally>, val bad: Map<Int, Long>)
-
-    private val snapshots = ArrayDeque<Snapshot>()
+    private val comparison = VersionComparison(rollout)
     private var oldLostSince: Duration? = null
 
+    /** Time at which the calls moved, and the responses of the new version until then. */
+    private var movedFrom: Pair<Duration, Long>? = null
+
     /** Returns the next step at [now], null for none. */
     fun decide(view: FleetView, now: Duration): RolloutDecision? {
         record(view, now)
-        val part = (now - rollout.startedAt) / rollout.order.duration
-        val evidence = if (rollout.phase == RolloutPhase.ROLLBACK || isOldLost(now)) null else evidence(view, now)
+        if (rollout.phase == RolloutPhase.ROLLBACK) return null
+        val elapsed = now - rollout.startedAt
+        val evidence = if (isOldLost(now)) null else comparison.evidence(view, now)
         return when {
-            rollout.phase == RolloutPhase.ROLLBACK -> null
-            evidence != null -> RolloutDecision(RolloutPhase.ROLLBACK, "bad", evidence)
-            isOldLost(now) -> closeWithoutOld(view)
+            evidence != null -> bad(evidence, elapsed)
+            isOldLost(now) -> step(RolloutPhase.CLOSED, "no-old-endpoints")
+                .takeIf { rollout.phase < RolloutPhase.CLOSED && view.isStoreReachable }
             !view.isStoreReachable -> null
-            part >= LAST_PART -> RolloutDecision(RolloutPhase.ROLLBACK, "deadline")
-            else -> advance(view, part)
+            elapsed >= schedule.last -> step(RolloutPhase.ROLLBACK, "deadline")
+            isHeldUp(view, elapsed) -> step(RolloutPhase.CANARY, "silent-daemon")
+            else -> advance(view, now)
         }
     }
 
     /** Whether the final state is `completed` now. */
     fun isComplete(view: FleetView, now: Duration): Boolean {
         if (rollout.phase != RolloutPhase.CLOSED || !view.isStoreReachable) return false
-        val part = (now - rollout.startedAt) / rollout.order.duration
         val agreement = view.agreement(RolloutPhase.CLOSED)
-        val isLate = part >= COMPLETION_PART || isOldLost(now)
+        val isLate = now - rollout.startedAt >= schedule.lateMove || isOldLost(now)
         return agreement == FleetAgreement.ALL || (agreement == FleetAgreement.HEARD && isLate)
     }
 
+    private val schedule get() = RolloutSchedule(rollout.order.duration)
+
     private fun record(view: FleetView, now: Duration) {
         val isLost = view.oldEndpoints == 0 && view.newEndpoints > 0
         oldLostSince = if (isLost) oldLostSince ?: now else null
-        val last = snapshots.lastOrNull()
-        if (last != null && now - last.at < SNAPSHOT_PERIOD) return
-        snapshots.addLast(Snapshot(now, view.tallies, view.bad))
-        // The first one that is older than the longest window is its start.
-        while (snapshots.size > 1 && now - snapshots[1].at > WINDOWS.last()) snapshots.removeFirst()
+        comparison.record(view, now)
     }
 
     /** A registration may be missing for a moment, and a final state can't be taken back. */
     private fun isOldLost(now: Duration): Boolean = oldLostSince?.let { now - it >= LOST_TIME } ?: false
 
-    private fun closeWithoutOld(view: FleetView): RolloutDecision? {
-        val isOpen = rollout.phase < RolloutPhase.CLOSED && view.isStoreReachable
-        return RolloutDecision(RolloutPhase.CLOSED, "no-old-endpoints").takeIf { isOpen }
+    /**
+     * Once the calls have moved there is nothing of the same period to compare with, so they go back to the old version
+     * to tell a bad version from a burst in which both fail. The callers are as safe as after a rollback.
+     */
+    private fun bad(evidence: RolloutEvidence, elapsed: Duration): RolloutDecision {
+        val mayRetreat = rollout.hasMoved && rollout.round < MAX_UNCLEAR_ROUNDS && elapsed < schedule.lastRetreat
+        val phase = if (mayRetreat) RolloutPhase.CANARY else RolloutPhase.ROLLBACK
+        return step(phase, if (mayRetreat) "unclear" else "bad", evidence)
     }
 
-    private fun advance(view: FleetView, part: Double): RolloutDecision? = when (rollout.phase) {
-        RolloutPhase.CANARY -> RolloutDecision(RolloutPhase.DRAIN, "no-sign-of-badness").takeIf { mayDrain(view, part) }
-        RolloutPhase.DRAIN -> {
-            val agreement = view.agreement(RolloutPhase.DRAIN)
-            val isLate = part >= CLOSE_PART
-            RolloutDecision(RolloutPhase.CLOSED, if (isLate) "late" else "old-version-idle")
-                .takeIf { agreement == FleetAgreement.ALL || isLate }
-        }
+    /** Whether a daemon became silent after the calls have moved; they don't stay at the new version meanwhile. */
+    private fun isHeldUp(view: FleetView, elapsed: Duration): Boolean = rollout.hasMoved &&
+        elapsed < schedule.lateMove && view.agreement(rollout.phase) == FleetAgreement.HEARD
+
+    /** Step to [phase]; one back to the canary begins the next round. */
+    private fun step(phase: RolloutPhase, reason: String, evidence: RolloutEvidence? = null): RolloutDecision {
+        val round = if (phase == RolloutPhase.CANARY) rollout.round + 1 else rollout.round
+        return RolloutDecision(phase, reason, round, evidence)
+    }
+
+    private fun advance(view: FleetView, now: Duration): RolloutDecision? = when (rollout.phase) {
+        RolloutPhase.CANARY -> step(RolloutPhase.DRAIN, "no-sign-of-badness").takeIf { mayDrain(view, now) }
+        RolloutPhase.DRAIN -> close(view, now)
         else -> null
     }
 
-    private fun mayDrain(view: FleetView, part: Double): Boolean {
-        if (view.newEndpoints == 0 || part < DRAIN_PART) return false
-        val isLate = part >= LATE_DRAIN_PART
+    private fun close(view: FleetView, now: Duration): RolloutDecision? {
+        val responses = view.tallies.filter { it.isNew }.sumOf { it.ended }
+        val before = movedFrom?.takeIf { it.first == rollout.phaseAt }?.second ?: responses
+        movedFrom = rollout.phaseAt to before
+        val agreement = view.agreement(RolloutPhase.DRAIN)
+        val time = now - rollout.phaseAt
+        val isLate = time >= schedule.closing || agreement == FleetAgreement.HEARD
+        val isObserved = responses - before >= MIN_MOVED_RESPONSES || time >= schedule.observation
+        return step(RolloutPhase.CLOSED, if (isLate) "late" else "old-version-idle")
+            .takeIf { isObserved && (agreement == FleetAgreement.ALL || isLate) }
+    }
+
+    private fun mayDrain(view: FleetView, now: Duration): Boolean {
+        val elapsed = now - rollout.startedAt
+        val isCompared = rollout.round == 0 || now - rollout.phaseAt >= schedule.comparison
+        if (view.newEndpoints == 0 || elapsed < schedule.move || !isCompared) return false
+        val isLate = elapsed >= schedule.lateMove
         val old = view.tallies.filter { !it.isNew }
         val new = view.tallies.filter { it.isNew }.associateBy { it.route }
         val isEachRouteTested = old.filter { it.ended >= ACTIVE_ROUTE_CALLS }
@@ -113,59 +141,17 @@
         return isTested && (isLate || (isEachRouteTested && isHeard))
     }
 
-    private fun evidence(view: FleetView, now: Duration): RolloutEvidence? {
-        val isCanary = rollout.phase == RolloutPhase.CANARY
-        val starts = WINDOWS.map { window -> snapshots.lastOrNull { now - it.at >= window } } + null
-        return starts.distinct().firstNotNullOfOrNull { start ->
-            val recent = view.tallies.since(start?.tallies.orEmpty())
-            val compared = if (isCanary) recent else view.tallies
-            val found = RolloutJudge.evidence(
-                new = recent.filter { it.isNew }.associateBy { it.route },
-                old = compared.filter { !it.isNew }.associateBy { it.route },
-                isSamePeriod = isCanary,
-            )
-            found?.takeIf { view.newEndpoints < 2 || isAtSeveralEndpoints(view.bad, start?.bad.orEmpty()) }
-        }
-    }
-
-    /** Whether more than one endpoint gave bad responses; a single one may be faulty by itself. */
-    private fun isAtSeveralEndpoints(latest: Map<Int, Long>, earlier: Map<Int, Long>): Boolean {
-        val bad = latest.mapValues { (endpoint, count) -> count - (earlier[endpoint] ?: 0) }.values
-        val others = bad.sum() - (bad.maxOrNull() ?: 0)
-        return others >= MIN_OTHER_BAD && others >= bad.sum() * MIN_OTHER_PART
-    }
-
-    private fun List<RouteTally>.since(earlier: List<RouteTally>): List<RouteTally> {
-        val before = earlier.associateBy { it.route to it.isNew }
-        return map { tally -> before[tally.route to tally.isNew]?.let { tally - it } ?: tally }
-    }
-
     private companion object {
-        /** Part of the order's time in which a bad version may show. */
-        const val DRAIN_PART = 0.55
-
-        /** Part after which routes without enough calls don't hold up the rollout. */
-        const val LATE_DRAIN_PART = 0.7
-
-        /** Part after which streams are not taken up at the old version any more. */
-        const val CLOSE_PART = 0.8
-
-        /** Part after which daemons that are not heard don't hold up the completion. */
-        const val COMPLETION_PART = 0.9
-
-        /** Part after which a rollout that could not be completed is rolled back, which ends no call. */
-        const val LAST_PART = 0.95
-
-        /** Periods in which the versions are compared, besides the whole time: badness may begin late. */
-        val WINDOWS = listOf(3.seconds, 8.seconds)
-        val SNAPSHOT_PERIOD = 400.milliseconds
+        /** Rounds that may end because it is not clear whether the new version is bad. */
+        const val MAX_UNCLEAR_ROUNDS = 2
 
         /** Time without old endpoints after which they count as lost. */
         val LOST_TIME = 1500.milliseconds
         const val ACTIVE_ROUTE_CALLS = 30L
         const val MIN_ROUTE_SAMPLES = 6L
         const val MIN_SAMPLES = 5L
-        const val MIN_OTHER_BAD = 1L
-        const val MIN_OTHER_PART = 0.15
+
+        /** Responses under the load of all calls in which a version shows that fails in a quarter of them. */
+        const val MIN_MOVED_RESPONSES = 40L
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutJudge.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutJudge.kt
@@ -37,7 +37,7 @@
         fun evidence(isSamePeriod: Boolean): RolloutEvidence? {
             val test = when {
                 old.ended < MIN_OLD_SAMPLES -> null
-                isClearlyHigher(new.failed, old.failed, MIN_FAILURE_DIFFERENCE) -> "failures"
+                isClearlyHigher(new.failed, old.failed, MIN_FAILURE_DIFFERENCE) -> FAILURES
                 isSamePeriod && isClearlyHigher(new.slow, old.slow, MIN_SLOW_DIFFERENCE) -> "slow-responses"
                 isSameRoute && isMeanSlower(if (isSamePeriod) SLOWER_FACTOR else LATER_SLOWER_FACTOR) -> "mean-time"
                 else -> null
@@ -62,6 +62,8 @@
         }
     }
 
+    /** Name of the test of failed calls. */
+    const val FAILURES = "failures"
     private const val ALL_ROUTES = "*"
 
     /** Responses of the old version without which there is nothing to compare with. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutLog.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutLog.kt
@@ -16,6 +16,7 @@
         "to" to rollout.order.to,
         "order" to rollout.opened,
         "phase" to rollout.phase,
+        "round" to rollout.round,
         "outcome" to rollout.outcome,
         "reason" to cause.reason,
         "source" to cause.source,
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutMessages.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutMessages.kt
@@ -4,7 +4,8 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Phase of an open rollout. Phases only advance, so that of two views the later phase holds; a rollback overrides all.
+ * Phase of an open rollout. Phases only advance within a round, and a later round holds against an earlier one, so that
+ * of two views the later holds; a rollback overrides all.
  */
 enum class RolloutPhase {
     /** A small part of the calls goes to the new version. */
@@ -28,6 +29,7 @@
  * @property ageMillis age of the coordinator's latest confirmation of this state; -1 without one.
  * @property outcome final state that the sender has read, told to daemons that take the rollout for open.
  * @property isCutOff whether the sender can't reach the store, so that another daemon should coordinate.
+ * @property round number of times that the calls were taken back to the old version for a comparison.
  */
 @Serializable
 data class RolloutState(
@@ -39,6 +41,7 @@
     @SerialName("a") val ageMillis: Long = -1,
     @SerialName("x") val isCutOff: Boolean = false,
     @SerialName("f") val outcome: RolloutOutcome? = null,
+    @SerialName("n") val round: Int = 0,
 )
 
 /**
@@ -85,7 +88,7 @@
  * @property process id of the reporting process, see [processId].
  * @property opened identifies the order, as in [RolloutState].
  * @property sequence rises with each change of the report.
- * @property phase latest phase that the process applies.
+ * @property phase latest phase that the process applies, in [round].
  * @property oldInFlight calls of the process in flight at endpoints of the old version.
  * @property bad number of failed and slow calls by the hash of the id of the new version's endpoint.
  */
@@ -99,6 +102,7 @@
     @SerialName("f") val oldInFlight: Int = 0,
     @SerialName("t") val tallies: List<RouteTally> = emptyList(),
     @SerialName("b") val bad: Map<Int, Long> = emptyMap(),
+    @SerialName("n") val round: Int = 0,
 )
 
 /** Short id of the process of a daemon; counts of an earlier process of the daemon are kept under their own id. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutOrder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutOrder.kt
@@ -44,14 +44,20 @@
     /** Part of the calls that go to the new version before it is known to be good; the rest is for late detection. */
     val canaryShare: Double get() = minOf(MAX_CANARY_SHARE, exposureShare * CANARY_PART)
 
+    /** Part of the calls up to which long calls are moved before the others. */
+    val earlyShare: Double get() = exposureShare * EARLY_PART
+
     /** Calls that all daemons together may send beyond [canaryShare], so that routes with few calls take part. */
     val canarySlack: Int get() = minOf(MAX_CANARY_SLACK, (exposureSlack * CANARY_SLACK_PART).toInt())
 
     private companion object {
-        const val MAX_CANARY_SHARE = 0.06
-        const val CANARY_PART = 0.6
-        const val MAX_CANARY_SLACK = 20
-        const val CANARY_SLACK_PART = 0.4
+        const val MAX_CANARY_SHARE = 0.04
+        const val CANARY_PART = 0.4
+
+        /** The rest is for the others, which move for half a second until a good version is completed. */
+        const val EARLY_PART = 0.5
+        const val MAX_CANARY_SLACK = 15
+        const val CANARY_SLACK_PART = 0.3
     }
 }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutProgress.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutProgress.kt
@@ -30,6 +30,17 @@
     var phase: RolloutPhase = RolloutPhase.CANARY
         private set
 
+    /** Number of times that the calls were taken back after they had moved. */
+    var round: Int = 0
+        private set
+
+    /** Time at which this daemon entered [phase]. */
+    var phaseAt: Duration = now
+        private set
+
+    /** Whether calls go to the new version without being compared with the old one. */
+    val hasMoved: Boolean get() = phase == RolloutPhase.DRAIN || phase == RolloutPhase.CLOSED
+
     /** Time of the order, as early as any daemon knows it. */
     var startedAt: Duration = now
         private set
@@ -59,14 +70,22 @@
     /** Whether the coordinator's information is recent enough to send calls to the new version. */
     fun isFresh(now: Duration): Boolean = now - confirmedAt < MAX_INFORMATION_AGE
 
-    /** Advances to [next]; returns whether that is a later phase. */
-    internal fun advance(next: RolloutPhase, now: Duration): Boolean {
-        if (next <= phase) return false
+    /** Advances to [next] of [nextRound]; returns whether that is a later phase. */
+    internal fun advance(next: RolloutPhase, now: Duration, nextRound: Int = round): Boolean {
+        if (!isLater(next, nextRound)) return false
         phase = next
+        round = maxOf(round, nextRound)
+        phaseAt = now
         if (next == RolloutPhase.ROLLBACK) rolledBackAt = minOf(rolledBackAt, now)
         return true
     }
 
+    private fun isLater(next: RolloutPhase, nextRound: Int): Boolean = when {
+        phase == RolloutPhase.ROLLBACK -> false
+        next == RolloutPhase.ROLLBACK -> true
+        else -> nextRound > round || (nextRound == round && next > phase)
+    }
+
     /** Records a coordinator's confirmation of the phase that held at [at]. */
     internal fun confirm(at: Duration) {
         confirmedAt = maxOf(confirmedAt, at)
@@ -81,7 +100,7 @@
         startedAt = minOf(startedAt, now - state.elapsedMillis.milliseconds)
         if (sentAt != null && state.ageMillis >= 0) confirm(sentAt - state.ageMillis.milliseconds)
         state.outcome?.let { finish(it, now) }
-        return advance(state.phase, now) || outcome != null
+        return advance(state.phase, now, state.round) || outcome != null
     }
 
     private fun adopt(other: Long): Boolean {
@@ -98,6 +117,7 @@
         elapsedMillis = (now - startedAt).inWholeMilliseconds,
         ageMillis = if (confirmedAt.isFinite()) (now - confirmedAt).inWholeMilliseconds else -1,
         outcome = outcome,
+        round = round,
     )
 
     private companion object {
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutUsage.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutUsage.kt
@@ -25,6 +25,7 @@
  * @property isNew whether the endpoint has the new version.
  * @property endpoint id of the endpoint.
  * @property time duration of the attempt, for streams the duration by event.
+ * @property total duration of the attempt.
  */
 class AttemptEnd(
     val route: String,
@@ -32,6 +33,7 @@
     val endpoint: String,
     val result: AttemptResult,
     val time: Duration,
+    val total: Duration = time,
 ) {
     /** Whether the response was a failure or broken. */
     val isFailed: Boolean get() = result == AttemptResult.FAILURE || result == AttemptResult.BROKEN
@@ -41,6 +43,7 @@
 class RolloutUsage {
     private val tallies = HashMap<Pair<String, Boolean>, RouteTally>()
     private val usualTimes = HashMap<String, UsualTime>()
+    private val longestTimes = HashMap<String, Duration>()
     private val brokenAt = HashMap<String, Duration>()
     private val badByEndpoint = HashMap<Int, Long>()
 
@@ -67,11 +70,14 @@
     /** Calls of [route] sent to the new version. */
     fun sentToNew(route: String): Long = tallies[route to true]?.sent ?: 0
 
-    private var reported: Pair<RolloutPhase, Int>? = null
+    /** Longest duration of recent calls of [route] at the old version. */
+    fun longestTime(route: String): Duration = longestTimes[route] ?: Duration.ZERO
 
-    /** Number of the report with the present counts, [phase] and [oldInFlight]; rises when any of them changes. */
-    fun sequenceOf(phase: RolloutPhase, oldInFlight: Int): Long {
-        val next = phase to oldInFlight
+    private var reported: Triple<RolloutPhase, Int, Int>? = null
+
+    /** Number of the report with the present counts and the given values; rises when any of them changes. */
+    fun sequenceOf(phase: RolloutPhase, round: Int, oldInFlight: Int): Long {
+        val next = Triple(phase, round, oldInFlight)
         if (next != reported) changes++
         reported = next
         return changes
@@ -97,7 +103,10 @@
         }
         if (!counts) return
         val limited = usual.limit(end.time)
-        if (end.result == AttemptResult.SUCCESS && !end.isNew) usual.add(end.time)
+        if (end.result == AttemptResult.SUCCESS && !end.isNew) {
+            usual.add(end.time)
+            longestTimes[end.route] = maxOf(longestTime(end.route) * LONGEST_DECAY, end.total)
+        }
         if (end.isNew && (end.isFailed || isSlow)) badByEndpoint.merge(end.endpoint.hashCode(), 1, Long::plus)
         update(end.route, end.isNew) {
             it.copy(
@@ -123,6 +132,9 @@
     }
 
     private companion object {
+        /** By call, so that a single long one is forgotten after some hundred. */
+        const val LONGEST_DECAY = 0.99
+
         /** Time in which broken calls of one endpoint count once. */
         val BREAK_TIME = 300.milliseconds
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/VersionGate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/VersionGate.kt
@@ -3,7 +3,6 @@
 import io.jasmineford.core.time.MonotonicClock
 import io.jasmineford.gateway.endpoint.EndpointState
 import io.jasmineford.gateway.endpoint.PlacementRequest
-import kotlin.math.roundToInt
 import kotlin.time.Duration
 
 /**
@@ -18,8 +17,9 @@
 class VersionGate(
     private val clock: MonotonicClock,
     private val bounds: RolloutBounds? = null,
-    private val slackPart: (key: String, total: Int) -> Int = { _, _ -> 0 },
+    slackPart: (key: String, total: Int) -> Int = { _, _ -> 0 },
 ) {
+    private val canary = CanarySelection(clock, bounds, slackPart)
     private val known = HashMap<String, RolloutProgress>()
     private val rejected = HashMap<String, MutableSet<String>>()
 
@@ -76,46 +76,33 @@
             // Old endpoints stop without draining as soon as the rollout is completed.
             rollout.phase == RolloutPhase.CLOSED -> listOf(new)
             isFresh && rollout.phase == RolloutPhase.DRAIN -> listOf(new)
-            isFresh && isCanary(rollout, request) -> listOf(canaryEndpoints(rollout, new), old)
+            isFresh && canary.isEarly(rollout, request) -> listOf(new, old)
+            isFresh && canary.isSelected(rollout, request) -> listOf(canary.endpoints(rollout, new), old)
             else -> listOf(old)
         }
     }
 
-    private fun isCanary(rollout: RolloutProgress, request: PlacementRequest): Boolean {
-        // A call that has failed at the new version is not sent there again.
-        if (bounds == null || request.tried.isNotEmpty()) return false
-        val usage = rollout.usage
-        val slack = slackPart("rollout/${request.service.name}", bounds.canarySlack)
-        val allowed = (bounds.canaryShare * (usage.sent + 1) + slack).toLong()
-        val isUnderTested = usage.sentToNew(request.route) < MIN_ROUTE_CALLS
-        val part = if (isUnderTested) RARE_ROUTE_PART else bounds.canaryShare * SELECTION_FACTOR
-        return usage.sentToNew < allowed && point("${rollout.opened}/${request.callKey}") < part
-    }
-
-    /**
-     * The endpoints that carry the canary's calls: so few that each has the load that it would have with all calls.
-     * Those that warm up respond more slowly, which says nothing of their version.
-     */
-    private fun canaryEndpoints(rollout: RolloutProgress, new: List<EndpointState>): List<EndpointState> {
-        val now = clock.now()
-        val count = (new.size * (bounds?.canaryShare ?: 0.0)).roundToInt().coerceAtLeast(MIN_CANARY_ENDPOINTS)
-        return new.filter { it.coldUntil <= now }
-            .map { it to point("${rollout.opened}/${it.endpoint.id}") }
-            .sortedBy { it.second }.take(count).map { it.first }
-    }
-
     /** Counts a call of [request] that is sent to the endpoint of [state]. */
     fun recordPlaced(request: PlacementRequest, state: EndpointState) {
         val rollout = counting(request.service.name) ?: return
         rollout.usage.recordSent(request.route, isNew = state.endpoint.version == rollout.order.to)
     }
 
-    /** Counts the end of a call on [route] at the endpoint of [state]; [time] is that of an event for streams. */
-    fun recordEnd(state: EndpointState, route: String, result: AttemptResult, time: Duration) {
+    /**
+     * Counts the end of a call on [route] at the endpoint of [state] after [total]; [time] is that of an event for
+     * streams.
+     */
+    fun recordEnd(
+        state: EndpointState,
+        route: String,
+        result: AttemptResult,
+        time: Duration,
+        total: Duration = time,
+    ) {
         val endpoint = state.endpoint
         val rollout = counting(endpoint.service) ?: return
         val isNew = endpoint.version == rollout.order.to
-        rollout.usage.recordEnd(AttemptEnd(route, isNew, endpoint.id, result, time), clock.now())
+        rollout.usage.recordEnd(AttemptEnd(route, isNew, endpoint.id, result, time, total), clock.now())
     }
 
     private fun counting(service: String) = known[service]?.takeIf { it.outcome == null }
@@ -123,26 +110,5 @@
     private companion object {
         /** Part of the rollback time in which streams of the new version may be taken up after a rollback. */
         const val RESUME_PART = 0.4
-
-        /** Calls of a route that this daemon sends to the new version before the other routes' calls count as much. */
-        const val MIN_ROUTE_CALLS = 3
-        const val RARE_ROUTE_PART = 0.5
-
-        /** With two endpoints, a faulty one can be told from a bad version. */
-        const val MIN_CANARY_ENDPOINTS = 2
-
-        /** Calls are selected more often than the share, as the share of calls so far limits them anyway. */
-        const val SELECTION_FACTOR = 2.0
-        const val HASH_FACTOR = -0x61c88647
-        const val HASH_SHIFT = 15
-        const val HASH_DROPPED_BITS = 8
-        const val HASH_MASK = 0xffffff
-
-        /** A point from 0 to 1 that depends on [key] only. */
-        fun point(key: String): Double {
-            val hash = key.hashCode() * HASH_FACTOR
-            val mixed = (hash xor (hash ushr HASH_SHIFT)) * HASH_FACTOR
-            return (mixed ushr HASH_DROPPED_BITS and HASH_MASK).toDouble() / HASH_MASK
-        }
     }
 }
