Measure control traffic of rollouts at 10 to 390 daemons

Cause: figures existed for 100 and 390 daemons before the calls move only. Change: RolloutFleetTest measures 10, 30, 100, 300 and 390 daemons, before and while calls move. The bound of 800 bytes a second holds from 100 daemons as before; small fleets, for which none was stated, are measured only.

--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/rollout/RolloutFleetTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/rollout/RolloutFleetTest.kt
@@ -304,12 +304,12 @@
         assertEquals(0, model.calls.count { it.isNew && it.at > since })
     }
 
-    /** Most bytes a second that a daemon sends while a version is rolled out, and their mean. */
-    private fun bytesOf(size: Int, isOrdered: Boolean): Pair<Long, Double> {
+    /** Most bytes a second that a daemon sends in the 5 s behind [from] of a rollout, and their mean. */
+    private fun bytesOf(size: Int, isOrdered: Boolean, from: Duration): Pair<Long, Double> {
         val model = RolloutFleetModel(1, size, callsPerSecond = size / 2.0, behaviour = ::good)
         model.run(5.seconds)
         if (isOrdered) model.order(SECONDS)
-        model.run(4.seconds)
+        model.run(from)
         model.fleet.resetCounts()
         model.run(5.seconds)
         val each = model.fleet.sentBytes.values.map { it / 5 }
@@ -318,11 +318,15 @@
 
     @Test
     fun `a rollout of a large fleet stays within the budget of control traffic`() {
-        listOf(100, 390).forEach { size ->
-            val (mostIdle, meanIdle) = bytesOf(size, isOrdered = false)
-            val (most, mean) = bytesOf(size, isOrdered = true)
-            println("rollout traffic of $size daemons: most $mostIdle to $most, mean $meanIdle to $mean bytes/s")
-            assertTrue(mean - meanIdle <= 800, "size=$size mean=$mean without $meanIdle")
+        listOf(10, 30, 100, 300, 390).forEach { size ->
+            // The calls are compared, then they move.
+            listOf(4.seconds, 17.seconds).forEach { from ->
+                val (mostIdle, meanIdle) = bytesOf(size, isOrdered = false, from)
+                val (most, mean) = bytesOf(size, isOrdered = true, from)
+                println("rollout traffic of $size from $from: most $mostIdle to $most, mean $meanIdle to $mean bytes/s")
+                // In small fleets each daemon tells all others; they have no budget and are measured only.
+                assertTrue(size < 100 || mean - meanIdle <= 800, "size=$size mean=$mean without $meanIdle")
+            }
         }
     }
 
