Compute scores, queue outlooks and permits in one place for decisions and explanations

Cause: the explanation of a placement had copies of the score's parts, of the rule when a call is queued, and of the accrual of permits; a change of one would have left the other behind. Change: the chooser takes the score from the same costs, the dispatcher and the page the same outlook, tryTake and hasPermit the same accrual. No decision changes.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CompletionStats.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/CompletionStats.kt
@@ -5,6 +5,15 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/**
+ * State of a service's queue.
+ *
+ * @property waiting number of waiting calls.
+ * @property wait expected wait behind them.
+ * @property isInTime whether a call would be queued rather than refused.
+ */
+data class QueueOutlook(val waiting: Int, val wait: Duration, val isInTime: Boolean)
+
 /** Smoothed completion rate and durations of a service's calls. */
 internal class CompletionStats {
     private val rate = DemandEstimate(RATE_AVERAGING_TIME)
@@ -38,6 +47,12 @@
         return if (perSecond <= 0) Duration.ZERO else (ahead / perSecond).seconds
     }
 
+    /** What a call that has [timeLeft] finds behind [waiting] others. */
+    fun outlook(now: Duration, waiting: Int, timeLeft: Duration): QueueOutlook {
+        val wait = wait(now, waiting)
+        return QueueOutlook(waiting, wait, isInTime = waiting == 0 || wait <= timeLeft - serviceTime)
+    }
+
     /** Time in which the [waiting] calls are served, within what callers wait for. */
     fun retryAfter(now: Duration, waiting: Int): Duration = wait(now, waiting).coerceAtMost(MAX_RETRY_AFTER)
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/Dispatcher.kt
@@ -21,15 +21,6 @@
     val onRefused: (retryAfter: Duration) -> Unit,
 )
 
-/**
- * State of a service's queue.
- *
- * @property waiting number of waiting calls.
- * @property wait expected wait behind them.
- * @property isInTime whether a call would be queued rather than refused.
- */
-data class QueueOutlook(val waiting: Int, val wait: Duration, val isInTime: Boolean)
-
 /**
  * Queues calls by service and assigns them to endpoints as these have free capacity.
  *
@@ -55,26 +46,23 @@
         onArrival(service.name)
         val queue = queues.getOrPut(service.name) { WaitQueue { it.scheduling } }
         val stats = completionsOf(service.name)
-        val wait = stats.wait(clock.now(), queue.size)
         if (!chooser.isServable(call.placement)) {
             refuseUnservable(call)
             return
         }
-        val available = call.scheduling.expiresAt - clock.now() - stats.serviceTime
-        if (queue.size > 0 && wait > available) {
-            call.onRefused(stats.retryAfter(clock.now(), queue.size))
-        } else {
+        val now = clock.now()
+        if (stats.outlook(now, queue.size, timeLeft = call.scheduling.expiresAt - now).isInTime) {
             queue.add(call)
             assignWaiting()
+        } else {
+            call.onRefused(stats.retryAfter(now, queue.size))
         }
     }
 
     /** What [submit] would find for a call of [service] that has [timeLeft]; changes nothing. */
     fun outlook(service: Service, timeLeft: Duration): QueueOutlook {
-        val waiting = queues[service.name]?.size ?: 0
         val stats = completions[service.name] ?: CompletionStats()
-        val wait = stats.wait(clock.now(), waiting)
-        return QueueOutlook(waiting, wait, isInTime = waiting == 0 || wait <= timeLeft - stats.serviceTime)
+        return stats.outlook(clock.now(), queues[service.name]?.size ?: 0, timeLeft)
     }
 
     /** Removes [call] from its queue; false when it is no longer queued. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/EndpointChooser.kt
@@ -64,11 +64,11 @@
         val free = preferred(usable, request).filter { it.hasFreeSlot }
         val work = request.work
         if (byWork != null && work != null && byWork.isOn(request.service.name)) {
-            return byWork.choose(free, work, { fixedCost(it, request) }) { tryTakeCall(it, request.service) }
+            return byWork.choose(free, work, { costs(it, request).score }) { tryTakeCall(it, request.service) }
         }
         // Each score is computed once: a sort by the function would compute two for each comparison.
         val fitting = if (byWork == null || work == null) free else free.filter { byWork.fits(it, work) }
-        val ranked = fitting.map { it to score(it, request) }.sortedBy { it.second }
+        val ranked = fitting.map { it to countedCosts(it, request).score }.sortedBy { it.second }
         return ranked.firstOrNull { tryTakeCall(it.first, request.service) }?.first
     }
 
@@ -95,26 +95,23 @@
         }
     }
 
-    private fun score(state: EndpointState, request: PlacementRequest): Double {
-        val qualityCost = (state.slowness - 1) * SLOWNESS_COST + state.failureRate * FAILURE_COST
-        return state.load * state.slowness + qualityCost + state.zoneCost + affinityCost(state, request)
+    /** Parts of the score of [state]: by [estimate], or by the calls in flight if there is none. */
+    internal fun costs(state: EndpointState, request: PlacementRequest, estimate: PlacementEstimate?): PlacementCosts {
+        val completion = estimate?.let { byWork?.relativeCompletion(it, request.service.name) }
+        return if (completion == null) countedCosts(state, request) else costs(state, request, load = completion)
     }
 
-    /** Costs that depend neither on the load nor on the speed of an endpoint. */
-    private fun fixedCost(state: EndpointState, request: PlacementRequest): Double =
-        state.failureRate * FAILURE_COST + state.zoneCost + affinityCost(state, request)
+    private fun countedCosts(state: EndpointState, request: PlacementRequest) =
+        costs(state, request, load = state.load * state.slowness, slowness = (state.slowness - 1) * SLOWNESS_COST)
 
-    /** Parts of the score of [state]: by [estimate], or by the calls in flight if there is none. */
-    internal fun costs(state: EndpointState, request: PlacementRequest, estimate: PlacementEstimate?): PlacementCosts {
-        val byCount = state.load * state.slowness
-        val slowness = if (estimate == null) (state.slowness - 1) * SLOWNESS_COST else 0.0
-        return PlacementCosts(
-            load = estimate?.let { byWork?.relativeCompletion(it, request.service.name) } ?: byCount,
+    /** Without [load] and [slowness], the costs that depend neither on the load nor on the speed of an endpoint. */
+    private fun costs(state: EndpointState, request: PlacementRequest, load: Double = 0.0, slowness: Double = 0.0) =
+        PlacementCosts(
+            load = load,
             quality = slowness + state.failureRate * FAILURE_COST,
             zone = state.zoneCost,
             affinity = affinityCost(state, request),
         )
-    }
 
     private val EndpointState.zoneCost: Double get() = if (endpoint.zone == zone) 0.0 else OTHER_ZONE_COST
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/SharedRate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/SharedRate.kt
@@ -30,21 +30,22 @@
     /** Takes a permit for a call from each of [rates] and returns true, unless one of them has none. */
     fun tryTake(rates: List<EndpointRate>, part: () -> RatePart): Boolean {
         if (rates.size != permits.size) permits = rates.map { RatePermits(clock) }
-        if (rates.isEmpty()) return true
-        val own = part()
-        permits.forEachIndexed { index, each -> each.accrue(rates[index], own) }
-        val fits = permits.all { it.isAvailable }
+        val fits = permits.areAvailable(rates, part)
         if (fits) permits.forEach { it.take() }
         return fits
     }
 
     /** Whether [tryTake] would return true now; changes nothing. */
     fun hasPermit(rates: List<EndpointRate>, part: () -> RatePart): Boolean {
-        if (rates.isEmpty()) return true
-        val own = part()
         val copies = if (rates.size == permits.size) permits.map { it.copy() } else rates.map { RatePermits(clock) }
-        copies.forEachIndexed { index, each -> each.accrue(rates[index], own) }
-        return copies.all { it.isAvailable }
+        return copies.areAvailable(rates, part)
+    }
+
+    private fun List<RatePermits>.areAvailable(rates: List<EndpointRate>, part: () -> RatePart): Boolean {
+        if (isEmpty()) return true
+        val own = part()
+        forEachIndexed { index, each -> each.accrue(rates[index], own) }
+        return all { it.isAvailable }
     }
 }
 
