Compute the schedule of a rollout once for each order

Cause: coordinator, comparison and the selection of long calls each built it, the latter for each call during a rollout. Change: a property of the order.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/CanarySelection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/CanarySelection.kt
@@ -19,7 +19,7 @@
     /** Whether the call is of a long route, whose calls move before the others within a part of the exposure. */
     fun isEarly(rollout: RolloutProgress, request: PlacementRequest): Boolean {
         val elapsed = clock.now() - rollout.startedAt
-        val schedule = RolloutSchedule(rollout.order.duration)
+        val schedule = rollout.order.schedule
         val usage = rollout.usage
         val isDue = elapsed >= schedule.moveOf(usage.longestTime(request.route)) && elapsed < schedule.move
         if (bounds == null || !isDue) return false
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutCoordinator.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutCoordinator.kt
@@ -77,7 +77,7 @@
         return agreement == FleetAgreement.ALL || (agreement == FleetAgreement.HEARD && isLate)
     }
 
-    private val schedule get() = RolloutSchedule(rollout.order.duration)
+    private val schedule get() = rollout.order.schedule
 
     private fun record(view: FleetView, now: Duration) {
         val isLost = view.oldEndpoints == 0 && view.newEndpoints > 0
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutOrder.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/RolloutOrder.kt
@@ -22,6 +22,8 @@
     val duration: Duration,
     val status: RolloutStatus? = null,
 ) {
+    internal val schedule = RolloutSchedule(duration)
+
     /** Status of this order; null if none was written for it. */
     val ownStatus: RolloutStatus? get() = status?.takeIf { it.to == to }
 
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/VersionComparison.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/rollout/VersionComparison.kt
@@ -60,7 +60,7 @@
      * with a back end that fails for both versions.
      */
     private fun confirmed(view: FleetView, now: Duration): RolloutEvidence? {
-        val isDue = now - rollout.phaseAt >= RolloutSchedule(rollout.order.duration).comparison
+        val isDue = now - rollout.phaseAt >= rollout.order.schedule.comparison
         val suspected = suspicion?.takeIf { isDue && !rollout.hasMoved } ?: return null
         val old = view.tallies.since(base).filter { !it.isNew }
         val ofRoute = old.filter { it.route == suspected.route && it.ended >= MIN_CONFIRMATION }
