Apply the neighbours' work only while they report calls

Cause: an idle tick left out the walk over the endpoints for calls in flight but made it for their work, where calls are placed by work. Both come from the same lists. Change: both are under the same condition.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryState.kt
@@ -169,9 +169,10 @@
         // Runs at each tick, and an idle fleet has no calls to distribute over its many endpoints.
         if (total.isNotEmpty() || hasCallsAtPeers) {
             directory.all.forEach { it.inFlightAtPeers = total[it.endpoint.id] ?: 0 }
+            // The work is told by the same lists as the calls in flight.
+            workReports.apply(currentNeighbours.value.mapNotNull { it.heartbeat })
         }
         hasCallsAtPeers = total.isNotEmpty()
-        workReports.apply(currentNeighbours.value.mapNotNull { it.heartbeat })
     }
 
     /**
