--- /dev/null
+++ b/review/lib-2/run-case.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Runs the scenario class $1 of the case in folder $2; the scenario ends the processes that it starts.
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+if [[ ! -f target/jasmineford-node.jar || ! -d target/review-2 ]]; then
+    echo "build the deploy file and run review/build-2.sh first" >&2
+    exit 2
+fi
+exec timeout --kill-after=5 118 java -Xmx512m -cp target/review-2 "review2.$1" "$2"
