--- a/review/6/ServerLimitCase.java
+++ b/review/6/ServerLimitCase.java
@@ -67,6 +67,7 @@
             }
             isOver = true;
             for (Thread thread : threads) thread.join();
+            addRuns(record, workers);
             long lost = tally.lost(workers);
             record.add("ends of processes by themselves: %d", ends);
             record.add("statuses, -1 for none: %s", tally.statuses);
--- a/review/7/LargeTurnsCase.java
+++ b/review/7/LargeTurnsCase.java
@@ -58,6 +58,7 @@
             sleep(500);
             isOver = true;
             for (Thread thread : threads) thread.join();
+            addRuns(record, workers);
             long lost = tally.lost(workers);
             record.add("ends of processes by themselves: %d", ends);
             record.add("turns sent: %d; statuses, -1 for none: %s", turns.get(), tally.statuses);
--- a/review/lib-2/Scenario.java
+++ b/review/lib-2/Scenario.java
@@ -42,6 +42,13 @@
         }
     }
 
+    /** Writes what the workers have run to the record. */
+    static void addRuns(Record record, Iterable<Worker> workers) {
+        for (Worker worker : workers) {
+            for (Worker.Run run : worker.runs) record.detail("%s %s ran at %s", run.attempt(), run.uri(), worker.id);
+        }
+    }
+
     /** Counts how the requests of many callers end, and which of them were cut off after a worker had begun to run them. */
     static final class Tally {
         final Map<Integer, AtomicInteger> statuses = new ConcurrentHashMap<>();
--- a/review/lib-2/run-case.sh
+++ b/review/lib-2/run-case.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the scenario class $1 of the case in folder $2; the scenario ends the processes that it starts.
+# Runs the scenario class $1 of the case in folder $2; it ends the processes that it starts.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 if [[ ! -f target/jasmineford-node.jar || ! -d target/review-2 ]]; then
