Keep permits of endpoint rates as runs, so that memory doesn't grow with a rate

Cause: RatePermits kept a time for each permit, so its memory was the rate times the burst time. The number is an endpoint's to choose, and heartbeats pass it on.

Ruled out: that heartbeats or the directory grow with the rate (a report is one number), and that the number isn't readable (endpoint-rate logs it).

Change: permits are kept as runs of evenly spaced ones, one for each call of the limiter at most. A rate counts as 1,000 million a second at most, one call in each unit of the clock. Reports of peers that are no rate are ignored; NaN and infinite ones were taken over before.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/NamedRateReader.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/NamedRateReader.kt
@@ -1,6 +1,7 @@
 package io.jasmineford.gateway.call
 
 import io.jasmineford.gateway.endpoint.EndpointState
+import io.jasmineford.gateway.endpoint.NamedRate
 import io.jasmineford.gateway.log.EventLog
 import io.jasmineford.gateway.log.endpointRate
 import io.netty.handler.codec.http.HttpHeaders
@@ -11,7 +12,7 @@
     /** Records what a response with [headers], to a request that was sent at [sentAt], says of the rate of [state]. */
     fun read(state: EndpointState, headers: HttpHeaders, sentAt: Duration) {
         val text = headers[names.rateLimit]
-        val perSecond = text?.trim()?.toDoubleOrNull()?.takeIf { it.isFinite() && it >= 0 }
+        val perSecond = text?.trim()?.toDoubleOrNull()?.takeIf(NamedRate::isRate)
         when {
             text == null -> if (headers.contains(names.signature)) recordNone(state, sentAt)
             perSecond == null -> log.event(
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
@@ -58,9 +58,10 @@
         return isChange
     }
 
-    /** Applies what another daemon reports; returns whether that is a change. */
+    /** Applies what another daemon reports, unless it is no rate; returns whether that is a change. */
     fun merge(report: RateReport): Boolean {
         val rate = report.perSecond
+        if (rate != null && !isRate(rate)) return false
         val before = perSecond
         val isLower = rate != null && (before == null || rate < before)
         if (report.version > version || (report.version == version && isLower)) advance(rate, report.version)
@@ -76,11 +77,14 @@
         updatedAt = clock.now()
     }
 
-    private companion object {
+    companion object {
+        /** Whether [perSecond] is a rate, which may be as large as it likes. */
+        fun isRate(perSecond: Double): Boolean = perSecond.isFinite() && perSecond >= 0
+
         /** Time after which a response that names the known rate is told to the other daemons again. */
-        val CONFIRMATION_PERIOD = 10.seconds
+        private val CONFIRMATION_PERIOD = 10.seconds
 
         /** Several confirmations are missing. */
-        val STALE_AFTER = 30.seconds
+        private val STALE_AFTER = 30.seconds
     }
 }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/SharedRate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/SharedRate.kt
@@ -54,20 +54,24 @@
  *
  * A daemon that starts from an offset of its own, and whose unused permits expire, keeps the sum over all daemons close
  * to the rate however many they are, also when each of them may send a call only every few minutes.
+ *
+ * Permits are kept as runs, one for each call of [accrue] at most: a rate may be any number that an endpoint names, and
+ * memory and time must not grow with it.
  */
 private class RatePermits(private val clock: MonotonicClock) {
-    private val accruedAt = ArrayDeque<Duration>()
+    private val runs = ArrayDeque<PermitRun>()
     private var updatedAt: Duration? = null
     private var fraction = 0.0
 
-    val isAvailable: Boolean get() = accruedAt.isNotEmpty()
+    val isAvailable: Boolean get() = runs.isNotEmpty()
 
     fun take() {
-        accruedAt.removeFirst()
+        val run = runs.removeFirst().afterFirst()
+        if (!run.isEmpty) runs.addFirst(run)
     }
 
     fun copy() = RatePermits(clock).also {
-        it.accruedAt.addAll(accruedAt)
+        it.runs.addAll(runs)
         it.updatedAt = updatedAt
         it.fraction = fraction
     }
@@ -76,7 +80,7 @@
     fun accrue(rate: EndpointRate, part: RatePart) {
         val now = clock.now()
         val lowest = if (rate.isStale) MIN_RATE else 0.0
-        val perSecond = (maxOf(rate.perSecond, MIN_RATE) * part.share).coerceAtLeast(lowest)
+        val perSecond = (rate.perSecond.coerceIn(MIN_RATE, MAX_RATE) * part.share).coerceAtLeast(lowest)
         val since = updatedAt ?: now.also { fraction = (part.rank * GOLDEN_RATIO).mod(1.0) }
         updatedAt = now
         val oldest = now - rate.burst
@@ -85,9 +89,20 @@
         fraction = (fraction + expired).mod(1.0)
         val start = maxOf(since, oldest)
         val total = fraction + perSecond * (now - start).toDouble(DurationUnit.SECONDS)
-        for (number in 1..floor(total).toInt()) accruedAt.addLast(start + ((number - fraction) / perSecond).seconds)
+        val accrued = PermitRun(start, fraction, perSecond, first = 1, last = floor(total).toLong())
+        if (!accrued.isEmpty) runs.addLast(accrued)
         fraction = total - floor(total)
-        while (accruedAt.isNotEmpty() && accruedAt.first() < oldest) accruedAt.removeFirst()
+        removeBefore(oldest)
+    }
+
+    private fun removeBefore(oldest: Duration) {
+        var run = runs.firstOrNull()
+        while (run != null && run.accruedAt(run.first) < oldest) {
+            runs.removeFirst()
+            val rest = run.from(oldest)
+            if (!rest.isEmpty) runs.addFirst(rest)
+            run = runs.firstOrNull()
+        }
     }
 
     private companion object {
@@ -99,5 +114,38 @@
          * when that is over.
          */
         const val MIN_RATE = 0.25
+
+        /** Calls per second: one in each unit of the clock. */
+        const val MAX_RATE = 1e9
+    }
+}
+
+/**
+ * Permits that accrue at an even rate from [start] on, with the numbers [first] to [last].
+ *
+ * @property fraction part of the permit with number 1 that had accrued at [start].
+ */
+private data class PermitRun(
+    val start: Duration,
+    val fraction: Double,
+    val perSecond: Double,
+    val first: Long,
+    val last: Long,
+) {
+    val isEmpty: Boolean get() = first > last
+
+    /** Time at which the permit with [number] accrues. */
+    fun accruedAt(number: Long): Duration = start + ((number - fraction) / perSecond).seconds
+
+    /** The permits but for the first one. */
+    fun afterFirst() = copy(first = first + 1)
+
+    /** The permits that accrue at [oldest] or later. */
+    fun from(oldest: Duration): PermitRun {
+        val before = floor(fraction + perSecond * (oldest - start).toDouble(DurationUnit.SECONDS)).toLong()
+        // The number is computed rather than counted; rounding may put it at a permit too far.
+        var next = (before - 1).coerceIn(first, last + 1)
+        while (next <= last && accruedAt(next) < oldest) next++
+        return copy(first = next)
     }
 }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/NamedRateTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/endpoint/NamedRateTest.kt
@@ -77,4 +77,11 @@
         assertFalse(low.merge(RateReport("e1", 3.0, version = 1)))
         assertEquals(low.perSecond, high.perSecond)
     }
+
+    @Test
+    fun `a report of another daemon that is no rate leaves the rate in force`() {
+        val here = NamedRate("e1", clock).apply { record(7.5) }
+        listOf(Double.NaN, Double.POSITIVE_INFINITY, -1.0).forEach { assertFalse(here.merge(RateReport("e1", it, 9))) }
+        assertEquals(7.5, here.perSecond)
+    }
 }
