Bound the cache of recent turns by bytes

Cause: the cache of TurnCoordinator kept the latest 1,500 turns whatever their size, which may be up to 5 MB, and counted towards no budget.

Ruled out: requests that wait (they count in REQUEST_MEMORY; none was ended) and outputs that are held until the turn is stored (72 tokens each here).

Change: RecentTurns keeps the turns used last up to 4 MB of memory, and none that alone takes an eighth of that. What isn't kept is read from the history daemons, as after a restart. The gauge jasmineford_recent_turn_bytes tells the cache from the rest of the heap.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnCoordinator.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/call/TurnCoordinator.kt
@@ -7,7 +7,6 @@
 import io.jasmineford.gateway.turn.TokenEntry
 import io.jasmineford.gateway.turn.TokenReserver
 import io.jasmineford.gateway.turn.TurnRecord
-import io.jasmineford.gateway.turn.chain
 
 /** Whether a turn may run, and the turns that it continues. */
 sealed interface TurnStart {
@@ -36,9 +35,10 @@
     private val quorum: HistoryQuorum,
     private val tokens: TokenReserver,
 ) {
-    private val recent = object : LinkedHashMap<String, TurnRecord>(RECENT_TURNS, LOAD_FACTOR, true) {
-        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<String, TurnRecord>) = size > RECENT_TURNS
-    }
+    private val recent = RecentTurns()
+
+    /** Estimated memory of the cached turns. */
+    val cachedBytes: Long get() = recent.heldBytes
 
     /** Concurrently reads the chain of turns up to [previous] and reserves [entry] against [budget], each if given. */
     fun begin(
@@ -70,7 +70,7 @@
     fun finish(tokens: TokenEntry?, used: Int, turn: TurnRecord, onDone: (Boolean) -> Unit) {
         val settled = tokens?.copy(tokens = used, isSettled = true)
         quorum.finish(settled, turn) { isStored ->
-            if (isStored) recent[turn.id] = turn
+            if (isStored) recent.add(turn)
             onDone(isStored)
         }
     }
@@ -86,7 +86,7 @@
 
     private fun prepend(lookup: ChainLookup, known: List<TurnRecord>): ChainLookup = when {
         lookup is ChainLookup.Found -> {
-            lookup.turns.forEach { recent[it.id] = it }
+            lookup.turns.forEach(recent::add)
             ChainLookup.Found(lookup.turns + known)
         }
         // The newer turns exist, so the older one exists too: it is unreachable rather than absent.
@@ -124,12 +124,6 @@
             onDone(TurnStartResult(start, reserved))
         }
     }
-
-    private companion object {
-        /** Size of the cache: some MB, the turns of the programs that a daemon serves at a time. */
-        const val RECENT_TURNS = 1500
-        const val LOAD_FACTOR = 0.75f
-    }
 }
 
 /** The token reservation that [call] needs; null when it has no budget or no program. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -174,6 +174,9 @@
         metrics.gauge("jasmineford_limited_endpoints", "Endpoints that name the rate of calls that they take") {
             state.directory.all.count { it.namedRate.perSecond != null }.toDouble()
         }
+        metrics.gauge("jasmineford_recent_turn_bytes", "Memory of the turns kept for those that continue them") {
+            services.turns.cachedBytes.toDouble()
+        }
         metrics.gauge("jasmineford_leaving_endpoints", "Endpoints whose responses say that they are leaving") {
             state.directory.all.count { it.isLeaving }.toDouble()
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryState.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryState.kt
@@ -131,19 +131,3 @@
  * @property isEnd whether no more are held.
  */
 data class CopyPart(val entries: List<HistoryEntry>, val next: Int, val isEnd: Boolean)
-
-/**
- * Follows the chain of turns of [account] from turn [id] back to the first one. The receiver holds turns by id.
- *
- * Returns the turns found, oldest first, and the id of the next older turn if the receiver lacks it, else null.
- */
-internal fun Map<String, TurnRecord>.chain(id: String, account: String): Pair<List<TurnRecord>, String?> {
-    val found = ArrayDeque<TurnRecord>()
-    var next: String? = id
-    while (next != null) {
-        val turn = this[next]?.takeIf { it.account == account } ?: break
-        found.addFirst(turn)
-        next = turn.previous
-    }
-    return found to next
-}
