Bound what waits for a history daemon that doesn't read

What callers saw, in a trial with the real programs on: turns of 128 KiB and one of three history daemons stopped for 10 s. Some 9 s after the stop 30 turns were answered in 2 s where 300 are usual, and 14 calls got no answer.

Requests that a daemon doesn't read wait in direct memory beyond their time limit; when its 48 MB are used up, each write throws in the middle of a turn's end.

Ruled out: a missing majority (turns were stored for 9 s with two daemons).

Change: while a daemon doesn't reply and 4 MB or more wait for it, further requests to it fail at once, as they would by their time limit. The event history-connection-full and the gauge jasmineford_history_unread_bytes show it.

--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/EntryDaemon.kt
@@ -110,7 +110,8 @@
         onUnmatched = ::recordUnmatched,
         isUsable = state.directory::isUsable,
     )
-    private val quorum = HistoryClients(node) { membership }.quorum
+    private val historyClients = HistoryClients(node) { membership }
+    private val quorum = historyClients.quorum
     private val memory = MemoryBudget(MAX_RESPONSE_BYTES, node.clock)
     private val services = CallServices(
         clock = node.clock,
@@ -177,6 +178,9 @@
         metrics.gauge("jasmineford_recent_turn_bytes", "Memory of the turns kept for those that continue them") {
             services.turns.cachedBytes.toDouble()
         }
+        metrics.gauge("jasmineford_history_unread_bytes", "Bytes of requests that history daemons have not read") {
+            historyClients.unreadBytes.toDouble()
+        }
         metrics.gauge("jasmineford_leaving_endpoints", "Endpoints whose responses say that they are leaving") {
             state.directory.all.count { it.isLeaving }.toDouble()
         }
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryClients.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/daemon/HistoryClients.kt
@@ -28,6 +28,9 @@
         wallMillis = node.wallMillis,
     )
 
+    /** Bytes of requests that history daemons have not read. */
+    val unreadBytes: Long get() = connections.values.sumOf { it.unreadBytes }
+
     private fun view(): GroupView? {
         val group = membership().storedGroup.group ?: return null
         val peers = membership().peers.historyDaemons()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/FrameCodec.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.ByteBufUtil
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder
 
@@ -31,9 +32,8 @@
 }
 
 /** Writes [bytes] as one frame and flushes it; the direct buffer goes to the socket without another copy. */
-internal fun Channel.writeFrame(bytes: ByteArray) {
+internal fun Channel.writeFrame(bytes: ByteArray): ChannelFuture =
     writeAndFlush(alloc().directBuffer(LENGTH_BYTES + bytes.size).writeInt(bytes.size).writeBytes(bytes))
-}
 
 /** TCP keep-alive settings of connections between daemons, which detect dead peers. */
 internal val frameKeepAlive = KeepAliveProbes()
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -55,9 +55,21 @@
         }
 
     private val unsent = ArrayList<RequestFrame>()
+    private var isFull = false
 
-    /** Sends [request] for the group of [stamp]; [onReply] gets null when no reply arrives within [timeout]. */
+    /** Bytes of requests that the daemon's host has not taken. */
+    var unreadBytes = 0L
+        private set
+
+    /**
+     * Sends [request] for the group of [stamp]; [onReply] gets null when no reply arrives within [timeout], and at once
+     * while the daemon neither replies nor reads.
+     */
     fun send(stamp: GroupStamp, request: HistoryRequest, timeout: Duration, onReply: (HistoryReply?) -> Unit) {
+        if (!mayWait()) {
+            onReply(null)
+            return
+        }
         val number = nextNumber++
         val now = clock.now()
         pending[number] = Pending(now, now + timeout, onReply)
@@ -65,13 +77,28 @@
         val open = channel
         val frame = RequestFrame(number, stamp.epoch, request, stamp.joinedAt)
         if (open != null) {
-            open.writeFrame(peerCbor.encodeToByteArray(frame))
+            write(open, frame)
         } else {
             unsent.add(frame)
             connect()
         }
     }
 
+    /** Whether another request may wait to be read; a daemon that stands still takes none of them for seconds. */
+    private fun mayWait(): Boolean {
+        val wasFull = isFull
+        isFull = unreadBytes >= MAX_UNREAD_BYTES && !isResponsive
+        if (isFull && !wasFull) log.event("history-connection-full", "daemon" to member.name, "bytes" to unreadBytes)
+        return !isFull
+    }
+
+    private fun write(open: Channel, frame: RequestFrame) {
+        val bytes = peerCbor.encodeToByteArray(frame)
+        val written = open.writeFrame(bytes)
+        unreadBytes += bytes.size
+        written.addListener { unreadBytes -= bytes.size }
+    }
+
     /** Closes the connection; pending requests are completed with null. */
     fun close() {
         channel?.close()
@@ -142,7 +169,7 @@
         lastNumber++
         val frames = unsent.filter { it.number in pending }
         unsent.clear()
-        frames.forEach { channel.writeFrame(peerCbor.encodeToByteArray(it)) }
+        frames.forEach { write(channel, it) }
     }
 
     private fun failAll() {
@@ -183,6 +210,9 @@
         /** Many times a round trip with a sync; a daemon that takes longer is not waited for. */
         val SLOW_REPLY = 200.milliseconds
 
+        /** Bytes that may wait for a daemon without replies; with a few such daemons, a part of the direct memory. */
+        const val MAX_UNREAD_BYTES = 4L * 1024 * 1024
+
         /** Time after a failed connection attempt in which requests fail without another one. */
         val RECONNECT_BACKOFF = 100.milliseconds
     }
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryConnectionTest.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/turn/HistoryConnectionTest.kt
@@ -15,6 +15,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
@@ -23,6 +24,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -84,9 +86,11 @@
     private fun DataOutputStream.reply(number: Long, total: Long) =
         frame(peerCbor.encodeToByteArray(ReplyFrame(number, HistoryReply.Reserved(total, 0))))
 
-    private fun request(timeout: Duration = LONG): CompletableFuture<HistoryReply?> {
+    private fun request(
+        timeout: Duration = LONG,
+        request: HistoryRequest = HistoryRequest.Tokens(ProgramKey("club", "p")),
+    ): CompletableFuture<HistoryReply?> {
         val reply = CompletableFuture<HistoryReply?>()
-        val request = HistoryRequest.Tokens(ProgramKey("club", "p"))
         loop.execute { connection.send(GroupStamp(1), request, timeout) { reply.complete(it) } }
         return reply
     }
@@ -184,6 +188,28 @@
         ended.get(WAIT_SECONDS, TimeUnit.SECONDS)
     }
 
+    /** Guards against a daemon whose direct memory is full of turns for a history daemon that stands still. */
+    @Test
+    fun `few bytes wait for a daemon that does not read, and it gets requests again once it does`() {
+        val wakes = CountDownLatch(1)
+        serve { frame, _ ->
+            wakes.await(WAIT_SECONDS, TimeUnit.SECONDS)
+            reply(frame.number, total = 7)
+        }
+        val turn = TurnRecord("t", "club", previous = null, ByteArray(TURN_BYTES), ByteArray(0))
+        val unread = List(TURNS) {
+            assertNull(request(SHORT, HistoryRequest.Finish(tokens = null, turn)).await())
+            CompletableFuture.supplyAsync({ connection.unreadBytes }, loop).get(WAIT_SECONDS, TimeUnit.SECONDS)
+        }
+        assertTrue(unread.max() < MAX_UNREAD_BYTES + 2 * TURN_BYTES, "${unread.max()} bytes are held")
+        // With a time limit longer than the test waits.
+        assertNull(request().await())
+        wakes.countDown()
+        val until = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS)
+        val tries = generateSequence { request(SHORT) }.takeWhile { System.nanoTime() < until }
+        assertIs<HistoryReply.Reserved>(tries.firstNotNullOf { it.await() })
+    }
+
     private companion object {
         const val CONNECTIONS = 8
         const val WAIT_SECONDS = 20L
@@ -192,6 +218,11 @@
         val LONG = 60.seconds
         val SHORT = 100.milliseconds
 
+        /** Turns that take much more than the socket's buffers and the bytes that may wait. */
+        const val TURNS = 40
+        const val TURN_BYTES = 1024 * 1024
+        const val MAX_UNREAD_BYTES = 4L * 1024 * 1024
+
         /** Number of the last of five requests. */
         const val LAST = 4L
     }
