--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/endpoint/NamedRate.kt
@@ -78,7 +78,7 @@
     }
 
     companion object {
-        /** Whether [perSecond] is a rate, which may be as large as it likes. */
+        /** Whether [perSecond] can be a rate: finite, of any size, and not negative. */
         fun isRate(perSecond: Double): Boolean = perSecond.isFinite() && perSecond >= 0
 
         /** Time after which a response that names the known rate is told to the other daemons again. */
--- a/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
+++ b/jasmineford-gateway/src/main/kotlin/io/jasmineford/gateway/turn/HistoryConnection.kt
@@ -84,7 +84,7 @@
         }
     }
 
-    /** Whether another request may wait to be read; a daemon that stands still takes none of them for seconds. */
+    /** Whether another request may be sent. What the daemon doesn't read stays in memory beyond its time limit. */
     private fun mayWait(): Boolean {
         val wasFull = isFull
         isFull = unreadBytes >= MAX_UNREAD_BYTES && !isResponsive
--- a/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/FaultyEndpoint.kt
+++ b/jasmineford-gateway/src/test/kotlin/io/jasmineford/gateway/call/FaultyEndpoint.kt
@@ -216,6 +216,7 @@
         if (cut >= head && framing != Framing.CLOSE && record.isLikely(FILLING_PERCENT)) {
             // Limit: noise that fills a body to exactly its length.
             val noise = "noise".padEnd(whole.length - cut + 1, '-')
+            // In the read of the part before it, or in one of its own.
             if (cut % 2 == 0) {
                 send(whole.take(cut), foreign = noise, splitAt = 0)
             } else {
